--- /dev/null
+++ b/frostfall/brain.py
@@ -0,0 +1,619 @@
+"""Every decision of frostfall. Its events, actions and settings are in frostfall/interface.py.
+
+Sans-I/O: `Brain.start` and `Brain.handle` take the clock and an event and return actions. An instance shares
+nothing with others, draws randomness from its seed alone and never iterates over a set.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import deque
+from zlib import crc32
+
+from frostfall import interface as api
+from frostfall.interface import Availability, Effect, Outcome, Phase, Verdict, VoteReply
+from frostfall.state import Attempt, Ballot, Known, Request, Test
+
+# ---- constants: time in microseconds -----------------------------------------------------------------------
+BEAT = 50_000  # housekeeping: short against any aim, cheap in CPU
+BEATS_PER_TICK = 4  # the design's tick of 200 ms
+ALPHA = 0.05  # the design's chance of a wrong 'on'
+BETA = 0.05  # the design's chance of a wrong 'back', shared out among the agents
+MARGIN = 0.05  # the design's p1 - p0
+LATE_AIMS = 1.5  # the design: an answer over so many aims is bad
+SETTLE = 5_000_000  # the design: younger machines may still be slow
+TIMED_ON = 0  # the design waits 2 s after the least stage time; a vote stands, so waiting only costs delay
+LEAST_POOLED = 10  # the design: outcomes that a vote needs
+PRIOR_BAD, PRIOR_WEIGHT = 0.01, 50.0  # p0 before outcomes, and how many outcomes it is worth: keeps p0 off 0
+MEMORY = 200.0  # outcomes that p0 remembers; counted, not timed, so that it stands when no old server is left
+HEARD_LIFE = 3  # ticks that a peer's term may be reused before its weight goes back to self
+COLD_USE = 0.4  # part of the cold budget we use: leaves room for chance and for heavy requests
+COLD_LEAST = 0.3  # sends per second that a cold server gets of each agent though it has nothing served yet
+SCATTER = 0.15  # random part of a cost: agents that know the same must not all pick the same server
+EAGER = 0.5  # doublings by which a trial build is preferred before there is evidence: delay has a price
+ANSWER_EARLY = 10_000  # a request is concluded so long before its deadline
+RETRY_SHARE, RETRY_DEPTH = 0.15, 6.0  # further attempts per request taken, and how many may be saved up
+SILENCE = 1_500_000  # a server that holds our attempts and says nothing for so long is taken for stuck
+SHUN_FIRST, SHUN_MOST = 300_000, 4_000_000  # how long an unreachable server is left alone, doubling
+PROBE_PERIOD = 1_000_000  # per server, where load is told to probes alone: under a point in the listed prices
+PRESSURE_FROM, PRESSURE_SPAN = 0.6, 0.8  # of the aim: recent answer time at which the least worthy is refused
+
+
+def links(agents: int) -> list[list[int]]:
+    """Every agent's peers: two ring neighbours and two hashed links, made symmetric; the same everywhere."""
+    near: list[set[int]] = [set() for _ in range(agents)]
+    for i in range(agents):
+        for j in ((i + 1) % agents, *(crc32(f"{i}/{k}".encode()) % agents for k in range(2))):
+            if i != j:
+                near[i].add(j)
+                near[j].add(i)
+    return [sorted(each) for each in near]
+
+
+def weights(agents: int) -> list[list[float]]:
+    """The weight matrix: 1 / (1 + the larger end degree) a link, the rest on self."""
+    near = links(agents)
+    matrix = [[0.0] * agents for _ in range(agents)]
+    for i, each in enumerate(near):
+        for j in each:
+            matrix[i][j] = 1.0 / (1 + max(len(each), len(near[j])))
+        matrix[i][i] = 1.0 - sum(matrix[i])
+    return matrix
+
+
+def mixing_rate(matrix: list[list[float]]) -> float:
+    """r, the second largest eigenvalue magnitude of a weight matrix, by power iteration on W - J."""
+    n = len(matrix)
+    vector, size = [math.sin(1.0 + i) for i in range(n)], 0.0
+    for _ in range(300):
+        mean = sum(vector) / n
+        vector = [sum(w * (v - mean) for w, v in zip(row, vector, strict=True)) for row in matrix]
+        size = math.sqrt(sum(v * v for v in vector))
+        if size < 1e-12:
+            return 0.0
+        vector = [v / size for v in vector]
+    return min(size, 1.0)
+
+
+def divergence(p1: float, p0: float) -> float:
+    """Mean log-likelihood ratio of one outcome with bad share p1 against p0."""
+    return p1 * math.log(p1 / p0) + (1 - p1) * math.log((1 - p1) / (1 - p0))
+
+
+def threshold(error: float, agents: int, r: float, m: float) -> float:
+    """The design's bound on the mixed score for one error chance (the paper's Theorem 4.1)."""
+    k = agents * r * r
+    miss = -math.expm1(-agents * max(m, 1e-6) / (4 * (k + 1)))  # m near 0 would ask for an endless band
+    return 8 * (k + 1) / (7 * agents) * (math.log(2 / error) - math.log(miss))
+
+
+class Brain:
+    """One agent."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        """Take the settings; nothing is known of the fleet yet."""
+        self.set, self.rollout = settings, settings.rollout
+        self.limits, self.rules = settings.limits, settings.rules
+        self.random = random.Random(seed)
+        self.probing = settings.load_by_probe and settings.limits.probes
+        self.kinds = {kind.name: kind for kind in settings.classes}
+        self.actions: list[api.Action] = []
+        self.now = 0
+        self.servers: dict[int, Known] = {}
+        self.requests: dict[str, Request] = {}
+        self.held: dict[str, None] = {}  # requests with no server to go to yet, in order
+        self.beats = 0
+        self.rate = 0.0  # requests served per second, over the last two
+        self.retry_tokens = RETRY_DEPTH
+        self.mean_time: dict[str, float] = {}  # answer time by class
+        self.mean_hint: dict[str, float] = {}
+        self.pressure, self.pressure_at = 0.0, 0  # recent answer time as a share of the aim
+        self.ask_backoff, self.asked_at = SHUN_FIRST, 0
+        # exposure
+        self.news: api.RolloutNews | None = None
+        self.taken: dict[str, deque[int]] = {}
+        self.exposed: dict[tuple[int, str], deque[int]] = {}
+        self.restarts: list[int] = []
+        self.answered_by: dict[str, int] = {}  # one-way keys
+        # the test
+        self.matrix = weights(settings.agents)
+        self.peers = links(settings.agents)[settings.agent] if settings.agent < settings.agents else []
+        self.r = mixing_rate(self.matrix)
+        self.baseline: dict[tuple[int, str], list[float]] = {}  # by build and class: outcomes, bad ones
+        self.test: Test | None = None
+        self.ballot: Ballot | None = None
+
+    # ---- events ------------------------------------------------------------------------------------------
+
+    def start(self, now: int) -> list[api.Action]:
+        """The first actions of a new instance."""
+        self.asked_at, self.pressure_at = -self.rules.ask_within, now
+        return self.handle(now, api.TimerFired("beat"))
+
+    def handle(self, now: int, event: api.Event) -> list[api.Action]:
+        """Answer one event."""
+        self.now, self.actions = now, []
+        match event:
+            case api.RequestArrived():
+                self._arrive(event)
+            case api.AttemptEnded():
+                self._ended(event)
+            case api.TimerFired(token="beat"):
+                self._beat()
+            case api.TimerFired(token="subscribe"):
+                self._subscribe()
+            case api.TimerFired():
+                if request := self.requests.get(event.token):
+                    self._give_up(request)
+            case api.PeerMessage():
+                self._hear(event)
+            case api.ServersListed():
+                self._listed(event)
+            case api.RolloutNews():
+                self._news(event)
+            case api.ProbeEnded():
+                self._probed(event)
+            case api.AnswerDisputed():
+                self._disputed(event)
+            case api.StreamStarted() | api.ClientLeft():
+                request = self.requests.get(event.request)
+                if request and isinstance(event, api.StreamStarted):
+                    request.streaming = True
+                elif request:
+                    self._close(request)
+            case api.BuildTally():  # a sample of the outcomes that the agents pool already:
+                pass  # counting it too would count them twice
+        return self.actions
+
+    def _act(self, action: api.Action) -> None:
+        self.actions.append(action)
+
+    def _beat(self) -> None:
+        self._act(api.SetTimer(BEAT, "beat"))
+        self.beats += 1
+        self.rate *= math.exp(-BEAT / 2e6)
+        up = sum(s.info.availability is Availability.UP for s in self.servers.values())
+        for server in self.servers.values():
+            # Danger: agents together push a cold server over. Our part of what a server carries (served: more
+            # may be asked than can be done), times its least capacity now, is safe if all keep to theirs.
+            earned = max(COLD_USE * self.rules.fall_multiple * self.rate / max(up, 1), COLD_LEAST)
+            server.credit = min(server.credit + earned * self._capacity(server) * BEAT / 1e6, 1.0)
+            server.errors *= math.exp(-BEAT / 4e6)
+            if self.probing and self.now - server.probed_at >= PROBE_PERIOD:
+                server.probed_at = self.now - self.random.randrange(BEAT)
+                self._act(api.ProbeServer(server.info.id))
+        for name in list(self.held):
+            if request := self.requests.get(name):
+                self._place(request)
+        if self.beats % BEATS_PER_TICK == 0:
+            self._tick()
+        if self.set.must_subscribe and self.now - self.asked_at >= self.rules.ask_within:
+            self._subscribe()
+
+    # ---- the server list ---------------------------------------------------------------------------------
+
+    def _subscribe(self) -> None:
+        self.asked_at = self.now
+        self._act(api.Subscribe())
+
+    def _listed(self, event: api.ServersListed) -> None:
+        if event.kind is api.ListKind.FAILED:
+            # Danger: without a subscription we send to servers that have left. Ask again, ever more slowly.
+            self._act(api.SetTimer(self.ask_backoff + self.random.randrange(100_000), "subscribe"))
+            self.ask_backoff = min(self.ask_backoff * 2, SHUN_MOST)
+            return
+        if event.kind is not api.ListKind.REMEMBERED:
+            self.ask_backoff = SHUN_FIRST
+        if event.kind is not api.ListKind.CHANGES:
+            listed = {info.id for info in event.servers}
+            self.servers = {name: s for name, s in self.servers.items() if name in listed}
+        for info in event.servers:
+            old = self.servers.get(info.id)
+            if info.availability is Availability.REMOVED:
+                self.servers.pop(info.id, None)
+            elif old and (old.info.started_at, old.info.build) == (info.started_at, info.build):
+                old.info = info
+            else:
+                self.servers[info.id] = Known(info, heard_at=self.now)
+
+    def _age(self, server: Known) -> int:
+        return self.now - server.info.started_at if server.info.started_at else 1 << 60
+
+    def _capacity(self, server: Known) -> float:
+        """The least share of its full capacity that a server can have by now."""
+        rules = self.rules
+        warm = min(1.0, max(0.0, self._age(server) / rules.warm_up)) if rules.warm_up else 1.0
+        return rules.cold_share + (1 - rules.cold_share) * warm
+
+    # ---- guards: every send and refusal passes here, whatever policy chose it ----------------------------
+
+    def _may_send(self, request: Request, server: Known) -> bool:
+        kind, tries = request.kind, request.attempts
+        if request.done or self.now >= request.event.deadline or len(tries) >= self.limits.max_attempts:
+            return False
+        if server.info.availability is not Availability.UP or self.servers.get(server.info.id) is not server:
+            return False
+        parallel = self.limits.parallel_attempts and kind.effect is Effect.SAFE
+        for earlier in tries:
+            if earlier.may_have_run and not self._repeatable(kind, earlier, server.info):
+                return False
+            if earlier.outcome is None and not parallel:
+                return False
+        if self._age(server) < self.rules.warm_up and server.credit < 1:
+            return False
+        return self._within_exposure(request, server.info.build)
+
+    def _repeatable(self, kind: api.RequestClass, earlier: Attempt, target: api.Server) -> bool:
+        if kind.effect is not Effect.KEYED:
+            return kind.effect is Effect.SAFE
+        first = earlier.server.info
+        same = kind.key_group is api.KeyGroup.ALL or (
+            first.zone == target.zone if kind.key_group is api.KeyGroup.ZONE else first.cell == target.cell)
+        return same and self.now - earlier.sent_at < kind.key_ttl
+
+    def _may_refuse(self, request: Request) -> bool:
+        kind = request.kind
+        return kind.effect is Effect.SAFE or not any(a.may_have_run for a in request.attempts) or (
+            kind.effect is Effect.KEYED and kind.key_group is api.KeyGroup.ALL)
+
+    def _on_trial(self, build: int) -> bool:
+        news = self.news
+        if self.rollout is None or news is None:
+            return False
+        return build > news.build or (build == news.build and news.phase is not Phase.RELEASED)
+
+    def _within_exposure(self, request: Request, build: int) -> bool:
+        rollout, news = self.rollout, self.news
+        if rollout is None:
+            return True
+        if news is None:  # not told yet what is on trial: only the lowest build cannot be
+            return build == min(s.info.build for s in self.servers.values())
+        bound = rollout.one_way and news.phase in (Phase.TRIAL, Phase.RELEASED)
+        if bound and build < self.answered_by.get(request.event.key or "", 0):
+            return False
+        if not self._on_trial(build):
+            return True
+        stage, cap = (news.stage, news.cap) if build == news.build else (0, rollout.stage_caps[0])
+        if cap <= 0 or (stage < rollout.closed_stages and request.kind.effect is not Effect.SAFE):
+            return False
+        # A lowered cap binds here at once, and the requests taken before its grace are then forgotten.
+        while self.restarts and self.now >= self.restarts[0]:
+            self.restarts.pop(0)
+            self.taken.clear()
+        group = self._group(request.kind)
+        taken, sent = (self._recent(log) for log in (self.taken.get(group), self.exposed.get((build, group))))
+        return sent + 1 <= rollout.free_attempts + cap * taken
+
+    def _group(self, kind: api.RequestClass) -> str:
+        return kind.name if self.rollout and self.rollout.per_class else ""
+
+    def _recent(self, log: deque[int] | None) -> int:
+        if log is None or self.rollout is None:
+            return 0
+        while log and log[0] < self.now - self.rollout.window:
+            log.popleft()
+        return len(log)
+
+    def _send(self, request: Request, server: Known) -> None:
+        """Send, if the guards allow it: the only place where an attempt begins."""
+        name, kind = request.event.request, request.kind
+        if not self._may_send(request, server):
+            raise AssertionError(f"policy chose to send {name} where the guards forbid it")
+        self.exposed.setdefault((server.info.build, self._group(kind)), deque()).append(self.now)
+        server.credit = max(server.credit - 1, 0.0)
+        if not server.out:
+            server.heard_at = self.now
+        server.out[name, len(request.attempts)] = self.now
+        request.attempts.append(Attempt(server, self.now))
+        self._act(api.SendAttempt(name, server.info.id, self._timeout(request)))
+
+    def _give_up(self, request: Request) -> None:
+        """The final answer of a request that is not served: refused where that is true, else failed."""
+        if request.done or request.streaming:
+            return
+        self._cancel(request)
+        limits = self.limits
+        if self._may_refuse(request):
+            wait = min(limits.max_retry_after, request.kind.aim // 2) if limits.retry_after else 0
+            self._act(api.Refuse(request.event.request, wait))
+        else:
+            self._act(api.Fail(request.event.request))
+        self._close(request)
+
+    def _cancel(self, request: Request) -> None:
+        for number, attempt in enumerate(request.attempts):
+            if attempt.outcome is None and self.limits.may_cancel and not request.streaming:
+                self._act(api.CancelAttempt(request.event.request, number))
+
+    def _close(self, request: Request) -> None:
+        request.done = True
+        self.held.pop(request.event.request, None)
+        if all(attempt.outcome is not None for attempt in request.attempts):
+            self.requests.pop(request.event.request, None)
+
+    # ---- the path of a request ---------------------------------------------------------------------------
+
+    def _arrive(self, event: api.RequestArrived) -> None:
+        kind = self.kinds.get(event.class_name)
+        if kind is None:  # a class that the settings do not name: the least that can be promised
+            kind = api.RequestClass(event.class_name, Effect.UNSAFE, api.KeyGroup.ALL, 0,
+                                    event.deadline - self.now, event.deadline - self.now, 0.0)
+        request = self.requests[event.request] = Request(event, kind, self.now)
+        self.retry_tokens = min(self.retry_tokens + RETRY_SHARE, RETRY_DEPTH)
+        self.taken.setdefault(self._group(kind), deque()).append(self.now)
+        if event.hint:
+            mean = self.mean_hint.get(kind.name, float(event.hint))
+            self.mean_hint[kind.name] = mean + 0.02 * (event.hint - mean)
+        if self.random.random() < self._refusal_chance(request):
+            self._give_up(request)
+            return
+        self._act(api.SetTimer(max(event.deadline - self.now - ANSWER_EARLY, 0), event.request))
+        self._place(request)
+
+    def _refusal_chance(self, request: Request) -> float:
+        """Danger: when more is asked than can be served, all answers come late. The least worthy go first."""
+        best = max((kind.worth for kind in self.set.classes), default=1.0) or 1.0
+        worth = request.kind.worth / best
+        pressure = self.pressure * math.exp(-(self.now - self.pressure_at) / 2e6)
+        return min(max((pressure - PRESSURE_FROM - 0.4 * worth) / PRESSURE_SPAN, 0.0), 0.95)
+
+    def _place(self, request: Request) -> None:
+        """Send to the best server that the guards allow, or hold the request for a while."""
+        options = [s for s in self.servers.values()
+                   if s.shunned_until <= self.now and self._may_send(request, s)]
+        if options:
+            self.held.pop(request.event.request, None)
+            preferred = [s for s in options if self._wanted(request, s)] or options
+            self._send(request, min(preferred, key=lambda s: (self._cost(request, s), s.info.id)))
+        elif (self.now - request.arrived_at < request.kind.aim // 2
+              and len(request.attempts) < self.limits.max_attempts):
+            self.held[request.event.request] = None
+        else:
+            self._give_up(request)
+
+    def _lean(self) -> float:
+        """The mixed score's place in its band, from -1 (back) to 1 (on)."""
+        if self.test is None:
+            return 0.0
+        upper, lower = self._band()
+        return max(-1.0, min(1.0, self.test.score / (upper if self.test.score > 0 else lower)
+                             * (1 if self.test.score > 0 else -1)))
+
+    def _wanted(self, request: Request, server: Known) -> bool:
+        """Whether the build's score so far lets this request go to it by choice."""
+        if not self._on_trial(server.info.build):
+            return True
+        if self.news is None or self.news.phase is not Phase.TRIAL or self._lean() <= -1:
+            return False
+        later = server.info.build == self.news.build and self.news.stage > 0
+        return later or request.kind.effect is Effect.SAFE
+
+    def _cost(self, request: Request, server: Known) -> float:
+        """Expected time there: queue, speed, errors, the way to it, and what its build has scored."""
+        info = server.info
+        load = (1.0 + len(server.out) + server.others) / max(info.size, 0.1)
+        cost = load / self._capacity(server)
+        # Danger: shunning a failing trial build would end the evidence on it. Its score judges it instead.
+        if not (self.test and info.build == self.test.key[0]):
+            cost *= server.slow / (1.0 - min(server.errors, 0.9)) ** 2
+        else:
+            cost *= 2.0 ** -(EAGER + max(self._lean(), 0.0))
+        if server.out and self.now - max(server.heard_at, min(server.out.values())) > SILENCE:
+            cost *= 10  # Danger: a lost or stuck server looks idle to its list and to our own count.
+        if info.zone != self.set.zone:
+            cost *= 1 + 5 * self.set.prices.cross_zone
+        if request.event.key and self.rollout and self.rollout.warm_keys:
+            cost *= 0.85 + 0.3 * crc32(f"{request.event.key}/{info.id}".encode()) / 2**32
+        return cost * (1 + SCATTER * self.random.random())
+
+    def _timeout(self, request: Request) -> int:
+        """A further attempt must be possible and affordable for the first to be cut short."""
+        mean = self.mean_time.get(request.kind.name)
+        left = request.event.deadline - self.now
+        if request.kind.effect is Effect.UNSAFE or mean is None or self.retry_tokens < 1:
+            return left
+        return min(left, int(max(6 * mean, request.kind.aim * 0.7)))
+
+    def _ended(self, event: api.AttemptEnded) -> None:
+        request = self.requests.get(event.request)
+        if request is None or event.attempt >= len(request.attempts):
+            return
+        attempt = request.attempts[event.attempt]
+        if attempt.outcome is not None:
+            return
+        attempt.outcome = event.outcome
+        attempt.server.out.pop((event.request, event.attempt), None)
+        self._learn(request, attempt, event)
+        self._judge(request, attempt, event)
+        if event.final or request.done:
+            key, build = request.event.key, attempt.server.info.build
+            one_way = self.rollout is not None and self.rollout.one_way and self._on_trial(build)
+            if event.outcome is Outcome.SUCCESS and key and one_way:
+                self.answered_by[key] = build
+            self._cancel(request)
+            self._close(request)
+        elif all(earlier.outcome is not None for earlier in request.attempts):
+            self._again(request, event.outcome)
+
+    def _again(self, request: Request, outcome: Outcome) -> None:
+        """A further attempt where class, time and budget allow; else the answer at once."""
+        if request.event.deadline - self.now < ANSWER_EARLY or not (
+                outcome.never_ran or request.kind.effect is not Effect.UNSAFE) or self.retry_tokens < 1:
+            self._give_up(request)
+            return
+        self.retry_tokens -= 1.0 if outcome is not Outcome.UNREACHABLE else 0.2
+        self._place(request)
+
+    # ---- health ------------------------------------------------------------------------------------------
+
+    def _learn(self, request: Request, attempt: Attempt, event: api.AttemptEnded) -> None:
+        server, name = attempt.server, request.kind.name
+        if event.outcome is Outcome.UNREACHABLE:
+            server.shun = min(max(server.shun * 2, SHUN_FIRST), SHUN_MOST)
+            server.shunned_until = self.now + server.shun
+            return
+        if event.outcome is Outcome.OVERLOADED:
+            server.shunned_until = self.now + SHUN_FIRST
+        if event.outcome in (Outcome.SUCCESS, Outcome.ERROR, Outcome.OVERLOADED):
+            server.heard_at, server.shun = self.now, 0
+        if event.outcome in (Outcome.SUCCESS, Outcome.ERROR, Outcome.TIMED_OUT, Outcome.RESET):
+            server.errors += 0.15 * ((event.outcome is not Outcome.SUCCESS) - server.errors)
+        self.rate += 0.5 * (event.outcome is Outcome.SUCCESS)
+        if event.outcome in (Outcome.SUCCESS, Outcome.TIMED_OUT):
+            hint, mean_hint = request.event.hint, self.mean_hint.get(name)
+            work = min(max(hint / mean_hint, 0.3), 3.0) if hint and mean_hint else 1.0
+            mean = self.mean_time.get(name, float(event.elapsed))
+            self.mean_time[name] = mean = mean + 0.03 * (event.elapsed - mean)
+            server.slow += 0.1 * (min(max(event.elapsed / work / max(mean, 1.0), 0.3), 4.0) - server.slow)
+            weight = 1 - math.exp(-(self.now - self.pressure_at + 20_000) / 1e6)
+            self.pressure += weight * (min(event.elapsed / request.kind.aim, 3.0) - self.pressure)
+            self.pressure_at = self.now
+        self._report(server, event.load)
+
+    def _report(self, server: Known, load: api.Load | None) -> None:
+        if load is None:
+            return
+        held = load.held if load.held is not None else load.queued
+        if held is not None:
+            server.others += 0.5 * (max(0.0, held - len(server.out)) - server.others)
+
+    def _probed(self, event: api.ProbeEnded) -> None:
+        server = self.servers.get(event.server)
+        if server is None:
+            return
+        if event.outcome is Outcome.SUCCESS:
+            server.heard_at = self.now
+            self._report(server, event.load)
+        elif event.outcome is Outcome.UNREACHABLE:
+            server.shunned_until = self.now + PROBE_PERIOD
+
+    # ---- the mechanism: consensus+innovations SPRT -------------------------------------------------------
+
+    def _news(self, news: api.RolloutNews) -> None:
+        old = self.news
+        if news.reply in (VoteReply.NONE, VoteReply.COUNTED):
+            if old and news.cap < old.cap:
+                self.restarts.append(self.now + self.rules.drain_grace)
+            self.news = news
+            live = news.phase in (Phase.TRIAL, Phase.RELEASED)
+            key = (news.build, news.stage if news.phase is Phase.TRIAL else -1)
+            if not live:
+                self.test = None
+            elif self.test is None or self.test.key != key:
+                self.test = Test(key, self.now - news.age)
+            if old is None or (old.build, old.stage, old.phase) != (news.build, news.stage, news.phase):
+                self._act(api.Log(f"build {news.build} stage {news.stage} {news.phase.name} cap {news.cap}"))
+        if news.reply in (VoteReply.OVERLOADED, VoteReply.ERROR, VoteReply.UNKNOWN) and self.ballot:
+            self.ballot.renew_at = self.now + 300_000 + self.random.randrange(500_000)
+
+    def _p0(self, name: str | None) -> float:
+        """The earlier build's smoothed bad share, of a class (leaning on that of all) or of all."""
+        build = max((b for b, _ in self.baseline if self.test and b < self.test.key[0]), default=None)
+        rows = {cls: row for (b, cls), row in self.baseline.items() if b == build}
+        total, bad = sum(row[0] for row in rows.values()), sum(row[1] for row in rows.values())
+        p0 = (bad + PRIOR_BAD * PRIOR_WEIGHT) / (total + PRIOR_WEIGHT)
+        row = rows.get(name or "")
+        return min((row[1] + p0 * PRIOR_WEIGHT) / (row[0] + PRIOR_WEIGHT) if row else p0, 0.9 - MARGIN)
+
+    def _band(self) -> tuple[float, float]:
+        test, n = self.test, self.set.agents
+        if test is None:
+            return math.inf, -math.inf
+        p0 = self._p0(None)
+        m = divergence(p0 + MARGIN, p0) * test.count / max(test.ticks, 1)
+        return threshold(ALPHA, n, self.r, m), -threshold(BETA / n, n, self.r, m)
+
+    def _judge(self, request: Request, attempt: Attempt, event: api.AttemptEnded) -> None:
+        """Turn one outcome into evidence on the trial build, or on the build that it is measured against."""
+        if event.outcome not in (Outcome.SUCCESS, Outcome.ERROR, Outcome.TIMED_OUT):
+            return
+        bad = event.outcome is not Outcome.SUCCESS or event.elapsed > LATE_AIMS * request.kind.aim
+        build = attempt.server.info.build
+        if self._age(attempt.server) < SETTLE and bad and event.outcome is not Outcome.ERROR:
+            return  # Danger: a cold machine is slow whatever its build; errors and timely answers do tell.
+        row = self.baseline.setdefault((build, request.kind.name), [0.0, 0.0])
+        row[:] = [row[0] * (1 - 1 / MEMORY) + 1, row[1] * (1 - 1 / MEMORY) + bad]
+        if self.test and build == self.test.key[0] and not request.judged:
+            request.judged = True  # Danger: one failing request, retried, would count again and again.
+            self.test.innovation += self._evidence(request.kind.name, bad)
+            self.test.outcomes += 1
+
+    def _evidence(self, name: str, bad: bool) -> float:
+        p0 = self._p0(name)
+        p1 = p0 + MARGIN
+        return math.log(p0 / p1) if bad else math.log((1 - p0) / (1 - p1))
+
+    def _disputed(self, event: api.AnswerDisputed) -> None:
+        server, rollout = self.servers.get(event.server), self.rollout
+        if server and self.test and rollout and server.info.build == self.test.key[0] and (
+                self._age(server) > event.age):
+            # A wrong answer counted as good when it came; each one told stands for those that were not.
+            weight = 1 / max(rollout.flag_share, 0.1)
+            self.test.innovation += weight * (self._evidence(event.class_name, True)
+                                              - self._evidence(event.class_name, False))
+
+    def _hear(self, event: api.PeerMessage) -> None:
+        """Danger: a peer on another build or stage, or a mangled message, must not reach the score."""
+        words = event.text.split(" ")
+        if self.test is None or event.sender not in self.peers or len(words) != 6 or words[0] != "s":
+            return
+        try:
+            key = (int(words[1]), int(words[2]))
+            score, innovation, count = (float(word) for word in words[3:])
+        except ValueError:
+            return
+        if key == self.test.key and abs(score) + abs(innovation) < 1e4 and 0 <= count < 1e6:
+            self.test.heard[event.sender] = (score + innovation, count, self.test.ticks)
+
+    def _tick(self) -> None:
+        test = self.test
+        if test is None:
+            return
+        own, count = test.score + test.innovation, test.count + test.outcomes
+        if self.limits.peers:
+            text = f"s {test.key[0]} {test.key[1]} {test.score:.4f} {test.innovation:.4f} {count:.3f}"
+            for peer in self.peers:
+                self._act(api.TellPeer(peer, text))
+        score, mixed = 0.0, 0.0
+        for j in (self.set.agent, *self.peers):
+            # Danger: a silent peer freezes its term. After a few ticks its weight goes back to our own.
+            term, counted, at = test.heard.get(j, (own, count, -HEARD_LIFE - 1))
+            if j == self.set.agent or test.ticks - at > HEARD_LIFE:
+                term, counted = own, count
+            score += self.matrix[self.set.agent][j] * term
+            mixed += self.matrix[self.set.agent][j] * counted
+        test.score, test.count, test.innovation, test.outcomes = score, mixed, 0.0, 0
+        test.ticks += 1
+        self._vote(test)
+
+    def _vote(self, test: Test) -> None:
+        rollout = self.rollout
+        if rollout is None or self.news is None:
+            return
+        upper, lower = self._band()
+        age = self.now - test.since
+        verdict, pooled = Verdict.NONE, test.count * self.set.agents
+        if pooled >= LEAST_POOLED and age >= rollout.least_stage_time:
+            moves = rollout.control is api.Control.VOTES and self.news.phase is Phase.TRIAL
+            timed = age >= rollout.least_stage_time + TIMED_ON and test.score > lower / 2
+            if test.score <= lower:
+                verdict = Verdict.BACK
+            elif moves and (test.score >= upper or timed):
+                verdict = Verdict.ON
+            elif not moves and self.news.phase is Phase.TRIAL and test.score < lower / 2:
+                verdict = Verdict.HOLD
+        # What was earned beyond the band must not hide a build that sours later.
+        test.score = min(test.score, upper)
+        last = self.ballot if self.ballot and self.ballot.key == test.key else None
+        if verdict is Verdict.NONE and (last is None or last.verdict is not Verdict.HOLD):
+            return
+        if last and last.verdict is verdict and self.now < last.renew_at:
+            return
+        if verdict is not (last.verdict if last else None):
+            self._act(api.Log(
+                f"vote {verdict.name} build {test.key[0]} stage {test.key[1]}: score {test.score:.2f} "
+                f"in {lower:.2f}..{upper:.2f}, {pooled:.0f} outcomes, p0 {self._p0(None):.3f}"))
+        self._act(api.CastVote(test.key[0], max(test.key[1], 0), verdict))
+        renew = max(rollout.vote_life * 3 // 4, rollout.vote_timeout)
+        self.ballot = Ballot(verdict, test.key, self.now + renew)
--- /dev/null
+++ b/frostfall/wirehost/codec.py
@@ -0,0 +1,285 @@
+"""Translates between the wire's messages and the project's interface; decides nothing."""
+
+from __future__ import annotations
+
+import math
+from typing import Any, TypeVar
+
+import msgspec
+
+from frostfall import interface as api
+from frostfall.wirehost import messages as wire
+
+_LINE: msgspec.json.Decoder[wire.Line] = msgspec.json.Decoder(wire.Line)
+_T = TypeVar("_T")
+_ENCODER = msgspec.json.Encoder()
+
+_EFFECTS = {"safe": api.Effect.SAFE, "keyed": api.Effect.KEYED, "unsafe": api.Effect.UNSAFE}
+_GROUPS = {"all": api.KeyGroup.ALL, "zone": api.KeyGroup.ZONE, "cell": api.KeyGroup.CELL}
+_AVAILABILITY = {
+    "up": api.Availability.UP,
+    "draining": api.Availability.DRAINING,
+    "removed": api.Availability.REMOVED,
+}
+_LIST_KINDS = {
+    "disk": api.ListKind.REMEMBERED,
+    "snapshot": api.ListKind.COMPLETE,
+    "diff": api.ListKind.CHANGES,
+    "error": api.ListKind.FAILED,
+}
+_OUTCOMES = {
+    "success": api.Outcome.SUCCESS,
+    "failure": api.Outcome.ERROR,
+    "overloaded": api.Outcome.OVERLOADED,
+    "timed_out": api.Outcome.TIMED_OUT,
+    "unreachable": api.Outcome.UNREACHABLE,
+    "broken": api.Outcome.RESET,
+    "withdrawn": api.Outcome.CANCELLED,
+    "void": api.Outcome.NEVER_SENT,
+}
+_PHASES = (api.Phase.TRIAL, api.Phase.GOING_BACK, api.Phase.RELEASED, api.Phase.WITHDRAWN)
+_REPLIES = {
+    "success": api.VoteReply.COUNTED,
+    "void": api.VoteReply.VOID,
+    "overloaded": api.VoteReply.OVERLOADED,
+    "failure": api.VoteReply.ERROR,
+    "timed_out": api.VoteReply.UNKNOWN,
+}
+_VERDICTS = {api.Verdict.NONE: 0, api.Verdict.ON: 1, api.Verdict.HOLD: 2, api.Verdict.BACK: 3}
+
+
+class WireError(Exception):
+    """The wire brought something that cannot be understood."""
+
+
+def decode_line(line: bytes) -> wire.Line:
+    """Read one line, or say in one plain sentence what is wrong with it."""
+    try:
+        return _LINE.decode(line)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise WireError(str(error)) from error
+
+
+def _name(table: dict[str, _T], value: str, what: str) -> _T:
+    try:
+        return table[value]
+    except KeyError:
+        raise WireError(f"unknown {what} {value!r}") from None
+
+
+def settings(conf: dict[str, Any]) -> api.Settings:
+    """The settings of an instance in the project's terms."""
+    try:
+        raw = msgspec.convert(conf, wire.Conf)
+    except msgspec.MsgspecError as error:
+        raise WireError(f"settings: {error}") from error
+    bounds, rules, prices = raw.bounds, raw.rules, raw.prices
+    return api.Settings(
+        agent=raw.ordinal,
+        agents=max(1, raw.n_instances),
+        zone=raw.zone,
+        classes=tuple(
+            api.RequestClass(
+                name=grade.name,
+                effect=_name(_EFFECTS, grade.effect, "effect"),
+                key_group=_name(_GROUPS, grade.key_scope, "key scope"),
+                key_ttl=grade.key_ttl_us,
+                aim=grade.aim_us,
+                deadline=grade.deadline_us,
+                worth=grade.credit,
+                late_worth=grade.late_worth,
+                aim_stretch=grade.aim_stretch,
+                stream=grade.stream,
+            )
+            for grade in raw.grades
+        ),
+        tenants=tuple(api.Tenant(c.name, c.quota_per_s, c.share) for c in raw.customers),
+        rollout=_rollout(raw.family_info) if raw.family_info and raw.family_info.caps else None,
+        limits=api.Limits(
+            max_attempts=bounds.max_attempts,
+            parallel_attempts=bounds.parallel_tries,
+            may_cancel=bounds.may_cancel,
+            probes=bounds.probes,
+            peers=bounds.peers,
+            retry_after=bounds.retry_after,
+            max_retry_after=bounds.max_retry_after_us,
+            connect_timeout=bounds.connect_timeout_us,
+        ),
+        rules=api.Rules(
+            answer_slack=rules.grace_to_answer_us,
+            drain_grace=rules.stop_sending_within_us,
+            ask_within=rules.ask_every_us,
+            cold_share=rules.cold_from,
+            warm_up=rules.warm_up_us,
+            fall_multiple=rules.fall_multiple,
+            fall_window=rules.fall_us,
+        ),
+        prices=api.Prices(prices.cross_zone, prices.waste, prices.probe, prices.peer, prices.late_fail),
+        must_subscribe=raw.discovery == "subscribe",
+        load_by_probe=raw.report.how == "on_probe",
+        over_share_worth=raw.over_share_worth,
+    )
+
+
+def _rollout(info: wire.FamilyInfo) -> api.Rollout:
+    return api.Rollout(
+        control=api.Control.AUTOMATIC if info.control == "automatic" else api.Control.VOTES,
+        stage_caps=tuple(info.caps),
+        stage_shares=tuple(info.rings),
+        window=info.window_us,
+        free_attempts=info.uncounted,
+        per_class=info.per == "each_class",
+        closed_stages=info.closed_stages,
+        one_way=info.one_way,
+        keeps_old_servers=info.swap != "replace",
+        least_stage_time=info.min_dwell_us,
+        stage_time=info.step_us,
+        on_votes=info.ayes_needed,
+        back_votes=info.back_votes,
+        hold_votes=info.to_pause,
+        vote_life=info.ballot_ttl_us,
+        vote_timeout=info.api_timeout_us,
+        votes_per_second=info.calls_per_s,
+        news_period=info.repeat_every_us,
+        tally_period=info.sums_every_us,
+        tally_sample=info.sample,
+        flag_share=info.flag_share,
+        delay_price=info.delay_price,
+        harm_price=info.blast_price,
+        warm_keys=info.warm_keys,
+    )
+
+
+def servers(nodes: list[wire.Node]) -> tuple[api.Server, ...]:
+    """A list's entries in the project's terms."""
+    return tuple(
+        api.Server(
+            id=node.appliance,
+            build=node.edition,
+            zone=node.rack_zone,
+            cell=node.cell,
+            size=node.size,
+            started_at=node.ready_at_us,
+            availability=_name(_AVAILABILITY, node.availability, "availability"),
+        )
+        for node in nodes
+    )
+
+
+def _load(report: dict[str, float] | None) -> api.Load | None:
+    if not report:
+        return None
+    known = {name: value for name, value in report.items() if math.isfinite(value) and value >= 0}
+    return api.Load(
+        held=known.get("busy_reqs"),
+        queued=known.get("pending"),
+        cpu=known.get("cpu_share"),
+        service_ms=known.get("svc_ms"),
+        served_per_s=known.get("served_ps"),
+    )
+
+
+def event(message: wire.AgentEvent, banks: dict[int, tuple[api.Server, ...]]) -> api.Event:
+    """One instance's event in the project's terms."""
+    match message:
+        case wire.Req():
+            return api.RequestArrived(
+                request=message.corr,
+                class_name=message.cls,
+                deadline=message.give_up_at_us,
+                key=message.target_key,
+                hint=message.estimate_us,
+                tenant=message.org if isinstance(message.org, str) else None,
+                is_retry=message.repeat,
+            )
+        case wire.Ended():
+            return api.AttemptEnded(
+                request=message.corr,
+                attempt=message.hop,
+                server=message.appliance,
+                outcome=_name(_OUTCOMES, message.ending, "ending"),
+                elapsed=message.cost_time_us,
+                final=message.final,
+                load=_load(message.report),
+            )
+        case wire.Reminder():
+            return api.TimerFired(message.ref)
+        case wire.NoteFrom():
+            return api.PeerMessage(message.sender, message.payload)
+        case wire.View():
+            kind = _name(_LIST_KINDS, message.kind, "kind of view")
+            if kind is api.ListKind.FAILED:
+                return api.ServersListed(kind, ())
+            if message.bank not in banks:
+                raise WireError(f"view names bank {message.bank}, which no roster has set up")
+            return api.ServersListed(kind, banks[message.bank])
+        case wire.StepNews():
+            if not 0 <= message.progress < len(_PHASES):
+                raise WireError(f"unknown progress {message.progress}")
+            reply = _name(_REPLIES, message.ending, "ending")
+            return api.RolloutNews(
+                build=message.image,
+                stage=message.stage,
+                phase=_PHASES[message.progress],
+                cap=message.limit_share,
+                age=message.behind_us,
+                reply=reply if message.mark else api.VoteReply.NONE,
+            )
+        case wire.Pong():
+            return api.ProbeEnded(
+                server=message.appliance,
+                outcome=_name(_OUTCOMES, message.ending, "ending"),
+                elapsed=message.cost_time_us,
+                load=_load(message.report),
+            )
+        case wire.CountsByBuild():
+            return api.BuildTally(
+                build=message.image,
+                class_name=message.cls,
+                attempts=message.samples,
+                failed=message.lost,
+                mean_elapsed=message.cost_time_us,
+                age=message.behind_us,
+            )
+        case wire.BadAnswer():
+            return api.AnswerDisputed(message.appliance, message.cls, message.behind_us)
+        case wire.Flowing():
+            return api.StreamStarted(message.corr, message.hop)
+        case wire.ClientGone():
+            return api.ClientLeft(message.corr)
+
+
+def encode_action(agent: int, action: api.Action) -> bytes:
+    """One line of a reply, without its line end."""
+    return _ENCODER.encode(_fields(action) | {"agent": agent})
+
+
+def _fields(action: api.Action) -> dict[str, Any]:
+    match action:
+        case api.SendAttempt():
+            fields = {"verb": "forward", "corr": action.request, "appliance": action.server}
+            return fields | ({"maxWaitUs": action.timeout} if action.timeout else {})
+        case api.CancelAttempt():
+            return {"verb": "abandon", "corr": action.request, "hop": action.attempt}
+        case api.Refuse():
+            fields = {"verb": "notNow", "corr": action.request}
+            return fields | ({"comeBackUs": action.retry_after} if action.retry_after else {})
+        case api.Fail():
+            return {"verb": "fail", "corr": action.request}
+        case api.SetTimer():
+            return {"verb": "setTimer", "delayUs": action.delay, "ref": action.token}
+        case api.ProbeServer():
+            return {"verb": "ping", "appliance": action.server}
+        case api.TellPeer():
+            return {"verb": "memoTo", "target": action.peer, "payload": action.text}
+        case api.Subscribe():
+            return {"verb": "keepInformed", "active": True}
+        case api.CastVote():
+            return {
+                "verb": "saySo",
+                "image": action.build,
+                "mark": _VERDICTS[action.verdict],
+                "stage": action.stage,
+            }
+        case api.Log():
+            return {"verb": "noteDown", "what": action.text}
--- /dev/null
+++ b/tests/test_mechanism.py
@@ -0,0 +1,193 @@
+"""The consensus+innovations SPRT: its parts against values worked out by hand, then whole decisions."""
+
+from __future__ import annotations
+
+import math
+import random
+from dataclasses import replace
+
+import pytest
+
+from frostfall import interface as api
+from frostfall.brain import divergence, links, mixing_rate, threshold, weights
+from frostfall.state import Test as SequentialTest
+from tests.support import ROLLOUT, SETTINGS, Agent, S, rollout, sends, server, votes
+
+
+@pytest.mark.parametrize("agents", [1, 2, 3, 5, 8, 13])
+def test_weights_are_symmetric_stochastic_and_connected(agents: int) -> None:
+    matrix = weights(agents)
+    for i in range(agents):
+        assert sum(matrix[i]) == pytest.approx(1)
+        assert all(w >= 0 for w in matrix[i])
+        assert [row[i] for row in matrix] == matrix[i]
+        assert all(matrix[i][j] > 0 for j in links(agents)[i])
+    assert mixing_rate(matrix) < 1
+
+
+def test_the_mixing_rate_of_known_matrices() -> None:
+    assert mixing_rate([[1.0]]) == 0
+    assert mixing_rate([[0.25] * 4 for _ in range(4)]) == pytest.approx(0, abs=1e-9)
+    assert mixing_rate([[0.7, 0.3], [0.3, 0.7]]) == pytest.approx(0.4)
+    ring = [[0.5, 0.25, 0, 0.25], [0.25, 0.5, 0.25, 0], [0, 0.25, 0.5, 0.25], [0.25, 0, 0.25, 0.5]]
+    assert mixing_rate(ring) == pytest.approx(0.5)
+
+
+def test_thresholds_against_hand_computed_values() -> None:
+    # One agent, r = 0: 8/7 (log 40 - log(1 - e^-0.25)) = 8/7 (3.688879 + 1.508690)
+    assert threshold(0.05, 1, 0.0, 1.0) == pytest.approx(5.940079, abs=1e-5)
+    # Four agents, r = 0.5, k = 1: 16/28 (log 160 - log(1 - e^-0.5)) for 0.05 / 4
+    four = 4 / 7 * (math.log(160) - math.log(1 - math.exp(-0.5)))
+    assert threshold(0.0125, 4, 0.5, 1.0) == pytest.approx(four)
+    assert threshold(0.05, 4, 0.0, 1e9) == pytest.approx(2 / 7 * math.log(40))
+    assert math.isfinite(threshold(0.05, 1, 0.0, 0.0))
+
+
+def test_divergence_of_known_shares() -> None:
+    assert divergence(0.5, 0.25) == pytest.approx(0.5 * math.log(2) + 0.5 * math.log(2 / 3))
+    assert divergence(0.2, 0.2) == 0
+
+
+def test_p0_never_reaches_zero_and_leans_on_all_classes() -> None:
+    agent = Agent(SETTINGS, server(1))
+    agent.news(2)
+    assert 0 < agent.brain._p0(None) <= 0.02
+    agent.brain.baseline[1, "read"] = [150.0, 0.0]
+    agent.brain.baseline[1, "order"] = [50.0, 25.0]
+    assert agent.brain._p0(None) == pytest.approx(25.5 / 250)
+    assert agent.brain._p0("read") < agent.brain._p0(None) < agent.brain._p0("order")
+    assert agent.brain._p0("unseen") == agent.brain._p0(None)
+
+
+def drive(bad_share: float, settings: api.Settings = SETTINGS, seconds: int = 40) -> list[api.CastVote]:
+    """A fleet in which the trial build fails a share of what it gets."""
+    agent = Agent(settings, server(1), server(2), server(9, build=2))
+    agent.news(2, cap=1.0)
+    dice, cast = random.Random(7), []
+    for _ in range(seconds * 20):
+        for send in sends(agent.ask()):
+            fails = send.server == 9 and dice.random() < bad_share
+            for more in sends(agent.end(send, api.Outcome.ERROR if fails else api.Outcome.SUCCESS)):
+                agent.end(more, attempt=1)
+        cast += votes(agent.pass_time(50_000))
+        if cast:
+            break
+    return cast
+
+
+def test_a_bad_build_is_sent_back() -> None:
+    vote, = drive(0.5)
+    assert (vote.build, vote.verdict) == (2, api.Verdict.BACK)
+
+
+def test_a_good_build_is_voted_on() -> None:
+    vote, = drive(0.0)
+    assert (vote.build, vote.stage, vote.verdict) == (2, 0, api.Verdict.ON)
+
+
+def test_automatic_control_knows_no_on() -> None:
+    assert drive(0.0, rollout(control=api.Control.AUTOMATIC), seconds=10) == []
+    assert {vote.verdict for vote in drive(0.5, rollout(control=api.Control.AUTOMATIC))} <= {
+        api.Verdict.BACK, api.Verdict.HOLD}
+
+
+def pair() -> Agent:
+    agent = Agent(replace(SETTINGS, agents=3), server(1), server(9, build=2))
+    agent.news(2)
+    return agent
+
+
+@pytest.mark.parametrize("text", [
+    "", "s", "s 2 0 1.0 1.0", "s 2 0 nan 0 1", "s 2 0 1.0 x 1", "s 3 0 -9 0 9", "s 2 1 -9 0 9",
+    "t 2 0 -9 0 9", "s 2 0 1e99 0 1", "s 2 0 -9 0 -1", "s 2 0 -9 0 9 extra", "s 2 0 -9 0 inf"])
+def test_messages_that_do_not_fit_are_ignored(text: str) -> None:
+    agent = pair()
+    agent.tell(api.PeerMessage(1, text))
+    assert agent.brain.test is not None
+    assert agent.brain.test.heard == {}
+
+
+def test_an_unknown_sender_is_ignored_and_a_peer_is_heard() -> None:
+    agent = pair()
+    assert agent.brain.test is not None
+    agent.tell(api.PeerMessage(7, "s 2 0 -9 0 9"))
+    assert agent.brain.test.heard == {}
+    agent.tell(api.PeerMessage(1, "s 2 0 -3 -1 9"))
+    assert agent.brain.test.heard == {1: (-4.0, 9.0, 0)}
+
+
+def test_a_silent_peer_gives_its_weight_back() -> None:
+    agent = pair()
+    test = agent.brain.test
+    assert test is not None
+    agent.tell(api.PeerMessage(1, "s 2 0 -9 0 9"))
+    agent.pass_time(200_000)
+    assert test.score < 0
+    agent.pass_time(3 * S)
+    settled = test.score
+    agent.pass_time(5 * S)
+    assert test.score == pytest.approx(settled)  # the frozen term pulls no longer
+
+
+def test_scores_start_anew_for_each_build_and_stage() -> None:
+    agent = pair()
+    first = agent.brain.test
+    assert first is not None
+    first.score = -3.0
+    agent.news(2)
+    assert agent.brain.test is first
+    agent.news(2, stage=1)
+    assert isinstance(agent.brain.test, SequentialTest)
+    assert agent.brain.test.score == 0
+    agent.news(2, phase=api.Phase.WITHDRAWN, cap=0.0)
+    assert agent.brain.test is None
+
+
+def test_retries_of_one_request_count_once() -> None:
+    agent = Agent(SETTINGS, server(9, build=2), server(8, build=2))
+    agent.news(2, cap=1.0)
+    test = agent.brain.test
+    assert test is not None
+    send, = sends(agent.ask())
+    again, = sends(agent.end(send, api.Outcome.ERROR))
+    agent.end(again, api.Outcome.ERROR, attempt=1)
+    assert test.outcomes == 1
+
+
+@pytest.mark.parametrize(("outcome", "counted"), [
+    (api.Outcome.ERROR, 1), (api.Outcome.SUCCESS, 1), (api.Outcome.TIMED_OUT, 0),
+    (api.Outcome.UNREACHABLE, 0)])
+def test_a_young_machine_that_is_slow_gives_no_evidence(outcome: api.Outcome, counted: int) -> None:
+    agent = Agent(SETTINGS, server(1), server(9, build=2, started=99 * S))
+    agent.news(2, cap=1.0)
+    agent.listed(server(1, availability=api.Availability.DRAINING))
+    agent.brain.servers[9].credit = 1.5
+    send, = sends(agent.ask())
+    agent.end(send, outcome)
+    assert agent.brain.test is not None
+    assert agent.brain.test.outcomes == counted
+
+
+def test_disputed_answers_weigh_against_the_build() -> None:
+    agent = Agent(SETTINGS, server(1), server(9, build=2))
+    agent.news(2)
+    test = agent.brain.test
+    assert test is not None
+    agent.tell(api.AnswerDisputed(1, "read", S))
+    assert test.innovation == 0
+    agent.tell(api.AnswerDisputed(9, "read", S))
+    assert test.innovation < math.log(agent.brain._p0("read") / (agent.brain._p0("read") + 0.05))
+
+
+def test_a_vote_is_repeated_when_its_reply_is_lost_and_renewed_before_it_lapses() -> None:
+    agent = Agent(SETTINGS, server(1), server(9, build=2))
+    agent.news(2)
+    test = agent.brain.test
+    assert test is not None
+    test.count, test.score = 50.0, -50.0
+    assert len(votes(agent.pass_time(3 * S))) == 1
+    agent.news(2, reply=api.VoteReply.UNKNOWN)
+    test.score = -50.0
+    assert len(votes(agent.pass_time(S))) == 1
+    test.score = -50.0
+    assert votes(agent.pass_time(ROLLOUT.vote_life))
