--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -8,7 +8,7 @@
 
 import math
 import random
-from collections import deque
+from collections import defaultdict, deque
 from zlib import crc32
 
 from frostfall import interface as api
@@ -16,28 +16,31 @@
 from frostfall.state import Attempt, Ballot, Known, Request, Test
 
 # ---- constants: time in microseconds -----------------------------------------------------------------------
-BEAT = 50_000  # housekeeping: short against any aim, cheap in CPU
-BEATS_PER_TICK = 4  # the design's tick of 200 ms
-ALPHA = 0.05  # the design's chance of a wrong 'on'
-BETA = 0.05  # the design's chance of a wrong 'back', shared out among the agents
+BEAT, BEATS_PER_TICK = 50_000, 4  # housekeeping, short against any aim; the design's tick is 200 ms
+ALPHA, BETA = 0.05, 0.05  # the design's chances of a wrong 'on' and, shared out among the agents, 'back'
 MARGIN = 0.05  # the design's p1 - p0
-LATE_AIMS = 1.5  # the design: an answer over so many aims is bad
+LATE_AIMS, LATE_TIMES = 1.5, 2.5  # an answer is late over so many aims, or usual times of its class
+LATE_MARGIN = 0.2  # p1 - p0 for lateness: wide, as unequal load on the machines makes some
+LATE_MEMORY, LATE_LEAST = 3e6, 15.0  # lateness is held against enough answers of the same moment
 SETTLE = 5_000_000  # the design: younger machines may still be slow
 TIMED_ON = 0  # the design waits 2 s after the least stage time; a vote stands, so waiting only costs delay
 LEAST_POOLED = 10  # the design: outcomes that a vote needs
 PRIOR_BAD, PRIOR_WEIGHT = 0.01, 50.0  # p0 before outcomes, and how many outcomes it is worth: keeps p0 off 0
+FLAG_FLOOR = 0.003  # disputes of right answers that are always reckoned with
 MEMORY = 200.0  # outcomes that p0 remembers; counted, not timed, so that it stands when no old server is left
 HEARD_LIFE = 3  # ticks that a peer's term may be reused before its weight goes back to self
 COLD_USE = 0.4  # part of the cold budget we use: leaves room for chance and for heavy requests
 COLD_LEAST = 0.3  # sends per second that a cold server gets of each agent though it has nothing served yet
 SCATTER = 0.15  # random part of a cost: agents that know the same must not all pick the same server
 EAGER = 0.5  # doublings by which a trial build is preferred before there is evidence: delay has a price
+FORGET = 3_000_000  # what is known of a server's load, speed and errors fades towards the fleet's
 ANSWER_EARLY = 10_000  # a request is concluded so long before its deadline
 RETRY_SHARE, RETRY_DEPTH = 0.15, 6.0  # further attempts per request taken, and how many may be saved up
-SILENCE = 1_500_000  # a server that holds our attempts and says nothing for so long is taken for stuck
+OVERDUE = 3.0  # usual answer times after which an open attempt speaks against its server
 SHUN_FIRST, SHUN_MOST = 300_000, 4_000_000  # how long an unreachable server is left alone, doubling
 PROBE_PERIOD = 1_000_000  # per server, where load is told to probes alone: under a point in the listed prices
-PRESSURE_FROM, PRESSURE_SPAN = 0.6, 0.8  # of the aim: recent answer time at which the least worthy is refused
+FILL = 0.6  # of the aim: how long answers may take before no more is sent than is served
+SPARE = 0.3  # part of what may be open that is kept for the classes of the highest worth
 
 
 def links(agents: int) -> list[list[int]]:
@@ -76,6 +79,11 @@
     return min(size, 1.0)
 
 
+def evidence(bad: bool, p0: float, margin: float) -> float:
+    """Log-likelihood ratio of one outcome: bad share p0 against p0 + margin; below zero speaks for bad."""
+    return math.log(p0 / (p0 + margin)) if bad else math.log((1 - p0) / (1 - p0 - margin))
+
+
 def divergence(p1: float, p0: float) -> float:
     """Mean log-likelihood ratio of one outcome with bad share p1 against p0."""
     return p1 * math.log(p1 / p0) + (1 - p1) * math.log((1 - p1) / (1 - p0))
@@ -95,32 +103,31 @@
         """Take the settings; nothing is known of the fleet yet."""
         self.set, self.rollout = settings, settings.rollout
         self.limits, self.rules = settings.limits, settings.rules
-        self.random = random.Random(seed)
-        self.probing = settings.load_by_probe and settings.limits.probes
+        self.random, self.now = random.Random(seed), 0
         self.kinds = {kind.name: kind for kind in settings.classes}
         self.actions: list[api.Action] = []
-        self.now = 0
         self.servers: dict[int, Known] = {}
         self.requests: dict[str, Request] = {}
         self.held: dict[str, None] = {}  # requests with no server to go to yet, in order
-        self.beats = 0
-        self.rate = 0.0  # requests served per second, over the last two
+        self.beats, self.rate = 0, 0.0  # the rate: requests served per second, over the last two
         self.retry_tokens = RETRY_DEPTH
         self.mean_time: dict[str, float] = {}  # answer time by class
         self.mean_hint: dict[str, float] = {}
-        self.pressure, self.pressure_at = 0.0, 0  # recent answer time as a share of the aim
-        self.ask_backoff, self.asked_at = SHUN_FIRST, 0
+        self.usual, self.open = 0.0, 0  # answer time of all classes; attempts out
+        self.ask_backoff, self.asked_at = SHUN_FIRST, -(1 << 60)
         # exposure
         self.news: api.RolloutNews | None = None
-        self.taken: dict[str, deque[int]] = {}
-        self.exposed: dict[tuple[int, str], deque[int]] = {}
+        self.taken: defaultdict[str, deque[int]] = defaultdict(deque)
+        self.exposed: defaultdict[tuple[int, str], deque[int]] = defaultdict(deque)
         self.restarts: list[int] = []
         self.answered_by: dict[str, int] = {}  # one-way keys
         # the test
         self.matrix = weights(settings.agents)
         self.peers = links(settings.agents)[settings.agent] if settings.agent < settings.agents else []
         self.r = mixing_rate(self.matrix)
-        self.baseline: dict[tuple[int, str], list[float]] = {}  # by build and class: outcomes, bad ones
+        self.failures: dict[tuple[int, str], list[float]] = {}  # by build, class: outcomes, failed, all ever
+        self.flags: dict[int, int] = {}  # answers disputed, by build
+        self.lateness: dict[int, list[float]] = {}  # by build: answers, late ones, when last counted
         self.test: Test | None = None
         self.ballot: Ballot | None = None
 
@@ -128,7 +135,6 @@
 
     def start(self, now: int) -> list[api.Action]:
         """The first actions of a new instance."""
-        self.asked_at, self.pressure_at = -self.rules.ask_within, now
         return self.handle(now, api.TimerFired("beat"))
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
@@ -143,9 +149,8 @@
                 self._beat()
             case api.TimerFired(token="subscribe"):
                 self._subscribe()
-            case api.TimerFired():
-                if request := self.requests.get(event.token):
-                    self._give_up(request)
+            case api.TimerFired() if request := self.requests.get(event.token):
+                self._give_up(request)
             case api.PeerMessage():
                 self._hear(event)
             case api.ServersListed():
@@ -156,14 +161,12 @@
                 self._probed(event)
             case api.AnswerDisputed():
                 self._disputed(event)
-            case api.StreamStarted() | api.ClientLeft():
-                request = self.requests.get(event.request)
-                if request and isinstance(event, api.StreamStarted):
-                    request.streaming = True
-                elif request:
-                    self._close(request)
-            case api.BuildTally():  # a sample of the outcomes that the agents pool already:
-                pass  # counting it too would count them twice
+            case api.StreamStarted() if request := self.requests.get(event.request):
+                request.streaming = True
+            case api.ClientLeft() if request := self.requests.get(event.request):
+                self._close(request)
+            case _:  # tallies sample the outcomes that the agents pool: counting them would be counting twice
+                pass
         return self.actions
 
     def _act(self, action: api.Action) -> None:
@@ -174,20 +177,25 @@
         self.beats += 1
         self.rate *= math.exp(-BEAT / 2e6)
         up = sum(s.info.availability is Availability.UP for s in self.servers.values())
+        earned = max(COLD_USE * self.rules.fall_multiple * self.rate / max(up, 1), COLD_LEAST) * BEAT / 1e6
+        others = sum(s.others for s in self.servers.values()) / max(len(self.servers), 1)
         for server in self.servers.values():
             # Danger: agents together push a cold server over. Our part of what a server carries (served: more
             # may be asked than can be done), times its least capacity now, is safe if all keep to theirs.
-            earned = max(COLD_USE * self.rules.fall_multiple * self.rate / max(up, 1), COLD_LEAST)
-            server.credit = min(server.credit + earned * self._capacity(server) * BEAT / 1e6, 1.0)
-            server.errors *= math.exp(-BEAT / 4e6)
-            if self.probing and self.now - server.probed_at >= PROBE_PERIOD:
+            server.credit = min(server.credit + earned * self._capacity(server), 1.0)
+            # Danger: a server that looks bad gets nothing, so nothing corrects the look.
+            server.errors -= server.errors * BEAT / FORGET
+            server.slow += (1 - server.slow) * BEAT / FORGET
+            server.others += (others - server.others) * BEAT / FORGET
+            probing = self.set.load_by_probe and self.limits.probes
+            if probing and self.now - server.probed_at >= PROBE_PERIOD:
                 server.probed_at = self.now - self.random.randrange(BEAT)
                 self._act(api.ProbeServer(server.info.id))
         for name in list(self.held):
             if request := self.requests.get(name):
                 self._place(request)
-        if self.beats % BEATS_PER_TICK == 0:
-            self._tick()
+        if self.beats % BEATS_PER_TICK == 0 and self.test:
+            self._tick(self.test)
         if self.set.must_subscribe and self.now - self.asked_at >= self.rules.ask_within:
             self._subscribe()
 
@@ -203,8 +211,7 @@
             self._act(api.SetTimer(self.ask_backoff + self.random.randrange(100_000), "subscribe"))
             self.ask_backoff = min(self.ask_backoff * 2, SHUN_MOST)
             return
-        if event.kind is not api.ListKind.REMEMBERED:
-            self.ask_backoff = SHUN_FIRST
+        self.ask_backoff = SHUN_FIRST
         if event.kind is not api.ListKind.CHANGES:
             listed = {info.id for info in event.servers}
             self.servers = {name: s for name, s in self.servers.items() if name in listed}
@@ -222,24 +229,22 @@
 
     def _capacity(self, server: Known) -> float:
         """The least share of its full capacity that a server can have by now."""
-        rules = self.rules
-        warm = min(1.0, max(0.0, self._age(server) / rules.warm_up)) if rules.warm_up else 1.0
-        return rules.cold_share + (1 - rules.cold_share) * warm
+        warm = min(1.0, max(0.0, self._age(server) / max(self.rules.warm_up, 1)))
+        return self.rules.cold_share + (1 - self.rules.cold_share) * warm
 
     # ---- guards: every send and refusal passes here, whatever policy chose it ----------------------------
 
     def _may_send(self, request: Request, server: Known) -> bool:
-        kind, tries = request.kind, request.attempts
+        kind, tries, info = request.kind, request.attempts, server.info
         if request.done or self.now >= request.event.deadline or len(tries) >= self.limits.max_attempts:
             return False
-        if server.info.availability is not Availability.UP or self.servers.get(server.info.id) is not server:
+        if info.availability is not Availability.UP or self.servers.get(info.id) is not server:
             return False
         parallel = self.limits.parallel_attempts and kind.effect is Effect.SAFE
-        for earlier in tries:
-            if earlier.may_have_run and not self._repeatable(kind, earlier, server.info):
-                return False
-            if earlier.outcome is None and not parallel:
-                return False
+        if not parallel and any(earlier.outcome is None for earlier in tries):
+            return False
+        if not all(self._repeatable(kind, earlier, info) for earlier in tries if earlier.may_have_run):
+            return False
         if self._age(server) < self.rules.warm_up and server.credit < 1:
             return False
         return self._within_exposure(request, server.info.build)
@@ -248,20 +253,18 @@
         if kind.effect is not Effect.KEYED:
             return kind.effect is Effect.SAFE
         first = earlier.server.info
-        same = kind.key_group is api.KeyGroup.ALL or (
-            first.zone == target.zone if kind.key_group is api.KeyGroup.ZONE else first.cell == target.cell)
+        same = {api.KeyGroup.ALL: True, api.KeyGroup.ZONE: first.zone == target.zone,
+                api.KeyGroup.CELL: first.cell == target.cell}[kind.key_group]
         return same and self.now - earlier.sent_at < kind.key_ttl
 
     def _may_refuse(self, request: Request) -> bool:
-        kind = request.kind
-        return kind.effect is Effect.SAFE or not any(a.may_have_run for a in request.attempts) or (
-            kind.effect is Effect.KEYED and kind.key_group is api.KeyGroup.ALL)
+        harmless = request.kind.effect is Effect.KEYED and request.kind.key_group is api.KeyGroup.ALL
+        return (harmless or request.kind.effect is Effect.SAFE
+                or not any(attempt.may_have_run for attempt in request.attempts))
 
     def _on_trial(self, build: int) -> bool:
-        news = self.news
-        if self.rollout is None or news is None:
-            return False
-        return build > news.build or (build == news.build and news.phase is not Phase.RELEASED)
+        news = self.news if self.rollout else None
+        return news is not None and build >= news.build + (news.phase is Phase.RELEASED)
 
     def _within_exposure(self, request: Request, build: int) -> bool:
         rollout, news = self.rollout, self.news
@@ -281,29 +284,22 @@
         while self.restarts and self.now >= self.restarts[0]:
             self.restarts.pop(0)
             self.taken.clear()
-        group = self._group(request.kind)
-        taken, sent = (self._recent(log) for log in (self.taken.get(group), self.exposed.get((build, group))))
-        return sent + 1 <= rollout.free_attempts + cap * taken
-
-    def _group(self, kind: api.RequestClass) -> str:
-        return kind.name if self.rollout and self.rollout.per_class else ""
-
-    def _recent(self, log: deque[int] | None) -> int:
-        if log is None or self.rollout is None:
-            return 0
-        while log and log[0] < self.now - self.rollout.window:
-            log.popleft()
-        return len(log)
+        logs = self.taken[request.group], self.exposed[build, request.group]
+        for log in logs:
+            while log and log[0] < self.now - rollout.window:
+                log.popleft()
+        return len(logs[1]) + 1 <= rollout.free_attempts + cap * len(logs[0])
 
     def _send(self, request: Request, server: Known) -> None:
         """Send, if the guards allow it: the only place where an attempt begins."""
-        name, kind = request.event.request, request.kind
+        name = request.event.request
         if not self._may_send(request, server):
             raise AssertionError(f"policy chose to send {name} where the guards forbid it")
-        self.exposed.setdefault((server.info.build, self._group(kind)), deque()).append(self.now)
+        self.exposed[server.info.build, request.group].append(self.now)
         server.credit = max(server.credit - 1, 0.0)
         if not server.out:
             server.heard_at = self.now
+        self.open += 1
         server.out[name, len(request.attempts)] = self.now
         request.attempts.append(Attempt(server, self.now))
         self._act(api.SendAttempt(name, server.info.id, self._timeout(request)))
@@ -313,12 +309,9 @@
         if request.done or request.streaming:
             return
         self._cancel(request)
-        limits = self.limits
-        if self._may_refuse(request):
-            wait = min(limits.max_retry_after, request.kind.aim // 2) if limits.retry_after else 0
-            self._act(api.Refuse(request.event.request, wait))
-        else:
-            self._act(api.Fail(request.event.request))
+        wait = min(self.limits.max_retry_after, request.kind.aim // 2) * self.limits.retry_after
+        name = request.event.request
+        self._act(api.Refuse(name, wait) if self._may_refuse(request) else api.Fail(name))
         self._close(request)
 
     def _cancel(self, request: Request) -> None:
@@ -337,36 +330,33 @@
     def _arrive(self, event: api.RequestArrived) -> None:
         kind = self.kinds.get(event.class_name)
         if kind is None:  # a class that the settings do not name: the least that can be promised
-            kind = api.RequestClass(event.class_name, Effect.UNSAFE, api.KeyGroup.ALL, 0,
-                                    event.deadline - self.now, event.deadline - self.now, 0.0)
-        request = self.requests[event.request] = Request(event, kind, self.now)
+            left = event.deadline - self.now
+            kind = api.RequestClass(event.class_name, Effect.UNSAFE, api.KeyGroup.ALL, 0, left, left, 0.0)
+        group = kind.name if self.rollout and self.rollout.per_class else ""
+        request = self.requests[event.request] = Request(event, kind, self.now, group)
         self.retry_tokens = min(self.retry_tokens + RETRY_SHARE, RETRY_DEPTH)
-        self.taken.setdefault(self._group(kind), deque()).append(self.now)
-        if event.hint:
-            mean = self.mean_hint.get(kind.name, float(event.hint))
-            self.mean_hint[kind.name] = mean + 0.02 * (event.hint - mean)
-        if self.random.random() < self._refusal_chance(request):
-            self._give_up(request)
-            return
+        self.taken[group].append(self.now)
+        mean = self.mean_hint.setdefault(kind.name, float(event.hint or 0))
+        self.mean_hint[kind.name] += 0.02 * ((event.hint or mean) - mean)
         self._act(api.SetTimer(max(event.deadline - self.now - ANSWER_EARLY, 0), event.request))
         self._place(request)
 
-    def _refusal_chance(self, request: Request) -> float:
-        """Danger: when more is asked than can be served, all answers come late. The least worthy go first."""
-        best = max((kind.worth for kind in self.set.classes), default=1.0) or 1.0
-        worth = request.kind.worth / best
-        pressure = self.pressure * math.exp(-(self.now - self.pressure_at) / 2e6)
-        return min(max((pressure - PRESSURE_FROM - 0.4 * worth) / PRESSURE_SPAN, 0.0), 0.95)
+    def _room(self, request: Request) -> bool:
+        # Danger: when more is asked than can be served, all answers come late. So no more is kept open than
+        # is served in a part of the aim (Little's law), and the least worthy class finds no room first.
+        best = max((kind.worth for kind in self.set.classes), default=0.0) or 1.0
+        fit = max(self.rate * FILL * request.kind.aim / 1e6 + 2, len(self.servers) / 2)
+        return self.open < fit * (1 - SPARE + SPARE * request.kind.worth / best)
 
     def _place(self, request: Request) -> None:
         """Send to the best server that the guards allow, or hold the request for a while."""
-        options = [s for s in self.servers.values()
-                   if s.shunned_until <= self.now and self._may_send(request, s)]
+        options = [s for s in self.servers.values() if s.shunned_until <= self.now
+                   and self._may_send(request, s)] if self._room(request) else []
         if options:
             self.held.pop(request.event.request, None)
             preferred = [s for s in options if self._wanted(request, s)] or options
             self._send(request, min(preferred, key=lambda s: (self._cost(request, s), s.info.id)))
-        elif (self.now - request.arrived_at < request.kind.aim // 2
+        elif (self.now - request.arrived_at < request.kind.aim // 3
               and len(request.attempts) < self.limits.max_attempts):
             self.held[request.event.request] = None
         else:
@@ -374,11 +364,9 @@
 
     def _lean(self) -> float:
         """The mixed score's place in its band, from -1 (back) to 1 (on)."""
-        if self.test is None:
-            return 0.0
         upper, lower = self._band()
-        return max(-1.0, min(1.0, self.test.score / (upper if self.test.score > 0 else lower)
-                             * (1 if self.test.score > 0 else -1)))
+        score = self.test.score if self.test else 0.0
+        return max(-1.0, min(1.0, score / upper if score > 0 else -score / lower))
 
     def _wanted(self, request: Request, server: Known) -> bool:
         """Whether the build's score so far lets this request go to it by choice."""
@@ -392,15 +380,16 @@
     def _cost(self, request: Request, server: Known) -> float:
         """Expected time there: queue, speed, errors, the way to it, and what its build has scored."""
         info = server.info
-        load = (1.0 + len(server.out) + server.others) / max(info.size, 0.1)
-        cost = load / self._capacity(server)
+        cost = (1.0 + len(server.out) + server.others) / max(info.size, 0.1)
         # Danger: shunning a failing trial build would end the evidence on it. Its score judges it instead.
         if not (self.test and info.build == self.test.key[0]):
-            cost *= server.slow / (1.0 - min(server.errors, 0.9)) ** 2
+            cost *= server.slow / self._capacity(server) / (1.0 - min(server.errors, 0.9)) ** 2
         else:
-            cost *= 2.0 ** -(EAGER + max(self._lean(), 0.0))
-        if server.out and self.now - max(server.heard_at, min(server.out.values())) > SILENCE:
-            cost *= 10  # Danger: a lost or stuck server looks idle to its list and to our own count.
+            short = self.test.count * self.set.agents < LEAST_POOLED  # a cold machine's errors tell, too
+            cost *= 2.0 ** -(EAGER + max(self._lean(), 0.0)) / (1.0 if short else self._capacity(server))
+        if server.out and self.usual:  # Danger: a lost, stuck or slow server looks idle to its list.
+            overdue = (self.now - min(server.out.values())) / self.usual / OVERDUE
+            cost *= min(max(overdue, 1.0), 10.0)
         if info.zone != self.set.zone:
             cost *= 1 + 5 * self.set.prices.cross_zone
         if request.event.key and self.rollout and self.rollout.warm_keys:
@@ -409,27 +398,24 @@
 
     def _timeout(self, request: Request) -> int:
         """A further attempt must be possible and affordable for the first to be cut short."""
-        mean = self.mean_time.get(request.kind.name)
-        left = request.event.deadline - self.now
-        if request.kind.effect is Effect.UNSAFE or mean is None or self.retry_tokens < 1:
+        kind, left = request.kind, request.event.deadline - self.now
+        if kind.effect is Effect.UNSAFE or kind.name not in self.mean_time or self.retry_tokens < 1:
             return left
-        return min(left, int(max(6 * mean, request.kind.aim * 0.7)))
+        return min(left, int(max(6 * self.mean_time[kind.name], 0.7 * kind.aim)))
 
     def _ended(self, event: api.AttemptEnded) -> None:
         request = self.requests.get(event.request)
-        if request is None or event.attempt >= len(request.attempts):
+        if request is None or request.attempts[event.attempt].outcome is not None:
             return
         attempt = request.attempts[event.attempt]
-        if attempt.outcome is not None:
-            return
         attempt.outcome = event.outcome
         attempt.server.out.pop((event.request, event.attempt), None)
+        self.open -= 1
         self._learn(request, attempt, event)
         self._judge(request, attempt, event)
         if event.final or request.done:
             key, build = request.event.key, attempt.server.info.build
-            one_way = self.rollout is not None and self.rollout.one_way and self._on_trial(build)
-            if event.outcome is Outcome.SUCCESS and key and one_way:
+            if event.outcome is Outcome.SUCCESS and key and self._on_trial(build):
                 self.answered_by[key] = build
             self._cancel(request)
             self._close(request)
@@ -438,12 +424,12 @@
 
     def _again(self, request: Request, outcome: Outcome) -> None:
         """A further attempt where class, time and budget allow; else the answer at once."""
-        if request.event.deadline - self.now < ANSWER_EARLY or not (
-                outcome.never_ran or request.kind.effect is not Effect.UNSAFE) or self.retry_tokens < 1:
+        allowed = outcome.never_ran or request.kind.effect is not Effect.UNSAFE
+        if not allowed or request.event.deadline - self.now < ANSWER_EARLY or self.retry_tokens < 1:
             self._give_up(request)
-            return
-        self.retry_tokens -= 1.0 if outcome is not Outcome.UNREACHABLE else 0.2
-        self._place(request)
+        else:
+            self.retry_tokens -= 1.0 if outcome is not Outcome.UNREACHABLE else 0.2
+            self._place(request)
 
     # ---- health ------------------------------------------------------------------------------------------
 
@@ -461,31 +447,30 @@
             server.errors += 0.15 * ((event.outcome is not Outcome.SUCCESS) - server.errors)
         self.rate += 0.5 * (event.outcome is Outcome.SUCCESS)
         if event.outcome in (Outcome.SUCCESS, Outcome.TIMED_OUT):
-            hint, mean_hint = request.event.hint, self.mean_hint.get(name)
-            work = min(max(hint / mean_hint, 0.3), 3.0) if hint and mean_hint else 1.0
-            mean = self.mean_time.get(name, float(event.elapsed))
-            self.mean_time[name] = mean = mean + 0.03 * (event.elapsed - mean)
-            server.slow += 0.1 * (min(max(event.elapsed / work / max(mean, 1.0), 0.3), 4.0) - server.slow)
-            weight = 1 - math.exp(-(self.now - self.pressure_at + 20_000) / 1e6)
-            self.pressure += weight * (min(event.elapsed / request.kind.aim, 3.0) - self.pressure)
-            self.pressure_at = self.now
+            times = event.elapsed / max(self._usual(request), 1.0)
+            server.slow += 0.15 * (min(max(times, 0.3), 8.0) - server.slow)
+            mean = self.mean_time.setdefault(name, float(event.elapsed))
+            self.mean_time[name] += 0.03 * (event.elapsed - mean)
+            self.usual += 0.03 * (event.elapsed - self.usual)
         self._report(server, event.load)
 
+    def _usual(self, request: Request) -> float:
+        """How long an answer of this class, and of this work where it is hinted, has taken of late."""
+        name, hint = request.kind.name, request.event.hint
+        work = min(max(hint / max(self.mean_hint[name], 1.0), 0.3), 3.0) if hint else 1.0
+        return work * self.mean_time.get(name, request.kind.aim / 2)
+
     def _report(self, server: Known, load: api.Load | None) -> None:
-        if load is None:
-            return
-        held = load.held if load.held is not None else load.queued
+        held = (load.held if load.held is not None else load.queued) if load else None
         if held is not None:
             server.others += 0.5 * (max(0.0, held - len(server.out)) - server.others)
 
     def _probed(self, event: api.ProbeEnded) -> None:
         server = self.servers.get(event.server)
-        if server is None:
-            return
-        if event.outcome is Outcome.SUCCESS:
+        if server and event.outcome is Outcome.SUCCESS:
             server.heard_at = self.now
             self._report(server, event.load)
-        elif event.outcome is Outcome.UNREACHABLE:
+        elif server and event.outcome is Outcome.UNREACHABLE:
             server.shunned_until = self.now + PROBE_PERIOD
 
     # ---- the mechanism: consensus+innovations SPRT -------------------------------------------------------
@@ -496,9 +481,8 @@
             if old and news.cap < old.cap:
                 self.restarts.append(self.now + self.rules.drain_grace)
             self.news = news
-            live = news.phase in (Phase.TRIAL, Phase.RELEASED)
             key = (news.build, news.stage if news.phase is Phase.TRIAL else -1)
-            if not live:
+            if news.phase in (Phase.GOING_BACK, Phase.WITHDRAWN):
                 self.test = None
             elif self.test is None or self.test.key != key:
                 self.test = Test(key, self.now - news.age)
@@ -507,110 +491,135 @@
         if news.reply in (VoteReply.OVERLOADED, VoteReply.ERROR, VoteReply.UNKNOWN) and self.ballot:
             self.ballot.renew_at = self.now + 300_000 + self.random.randrange(500_000)
 
+    def _earlier(self) -> int | None:
+        return max((b for b, _ in self.failures if self.test and b < self.test.key[0]), default=None)
+
     def _p0(self, name: str | None) -> float:
-        """The earlier build's smoothed bad share, of a class (leaning on that of all) or of all."""
-        build = max((b for b, _ in self.baseline if self.test and b < self.test.key[0]), default=None)
-        rows = {cls: row for (b, cls), row in self.baseline.items() if b == build}
+        """The earlier build's smoothed share of failures, of a class (leaning on that of all) or of all."""
+        build = self._earlier()
+        rows = {cls: row for (b, cls), row in self.failures.items() if b == build}
         total, bad = sum(row[0] for row in rows.values()), sum(row[1] for row in rows.values())
         p0 = (bad + PRIOR_BAD * PRIOR_WEIGHT) / (total + PRIOR_WEIGHT)
-        row = rows.get(name or "")
-        return min((row[1] + p0 * PRIOR_WEIGHT) / (row[0] + PRIOR_WEIGHT) if row else p0, 0.9 - MARGIN)
+        row = rows.get(name or "", [0.0, 0.0])
+        return min((row[1] + p0 * PRIOR_WEIGHT) / (row[0] + PRIOR_WEIGHT), 0.9 - MARGIN)
+
+    def _p0_late(self) -> float | None:
+        """The earlier build's share of late answers now; None where it gives too few to compare with."""
+        answers, late, at = self.lateness.get(self._earlier() or -1, (0.0, 0.0, 0.0))
+        if answers * math.exp((at - self.now) / LATE_MEMORY) < LATE_LEAST:
+            return None
+        return min((late + 1) / (answers + 10), 0.9 - LATE_MARGIN)
 
     def _band(self) -> tuple[float, float]:
         test, n = self.test, self.set.agents
         if test is None:
             return math.inf, -math.inf
-        p0 = self._p0(None)
-        m = divergence(p0 + MARGIN, p0) * test.count / max(test.ticks, 1)
+        p0, late = self._p0(None), self._p0_late()
+        m = divergence(p0 + MARGIN, p0) + (divergence(late + LATE_MARGIN, late) if late else 0.0)
+        m *= test.count / max(test.ticks, 1)
         return threshold(ALPHA, n, self.r, m), -threshold(BETA / n, n, self.r, m)
 
     def _judge(self, request: Request, attempt: Attempt, event: api.AttemptEnded) -> None:
         """Turn one outcome into evidence on the trial build, or on the build that it is measured against."""
+        server = attempt.server
         if event.outcome not in (Outcome.SUCCESS, Outcome.ERROR, Outcome.TIMED_OUT):
             return
-        bad = event.outcome is not Outcome.SUCCESS or event.elapsed > LATE_AIMS * request.kind.aim
-        build = attempt.server.info.build
-        if self._age(attempt.server) < SETTLE and bad and event.outcome is not Outcome.ERROR:
-            return  # Danger: a cold machine is slow whatever its build; errors and timely answers do tell.
-        row = self.baseline.setdefault((build, request.kind.name), [0.0, 0.0])
-        row[:] = [row[0] * (1 - 1 / MEMORY) + 1, row[1] * (1 - 1 / MEMORY) + bad]
+        # Danger: a server that has said nothing since is lost or cut off; that tells nothing of its build.
+        if event.outcome is Outcome.TIMED_OUT and server.heard_at <= attempt.sent_at:
+            return
+        build, failed, late = server.info.build, event.outcome is Outcome.ERROR, None
+        if self._age(server) >= SETTLE and not failed:  # a cold machine is slow whatever its build
+            limit = min(LATE_AIMS * request.kind.aim, LATE_TIMES * self._usual(request))
+            late = event.outcome is Outcome.TIMED_OUT or event.elapsed > limit
+            row = self.lateness.setdefault(build, [0.0, 0.0, float(self.now)])
+            fade = math.exp((row[2] - self.now) / LATE_MEMORY)
+            row[:] = [row[0] * fade + 1, row[1] * fade + late, self.now]
+        if event.outcome is Outcome.TIMED_OUT and late is None:
+            return
+        row = self.failures.setdefault((build, request.kind.name), [0.0, 0.0, 0.0])
+        row[:] = [row[0] * (1 - 1 / MEMORY) + 1, row[1] * (1 - 1 / MEMORY) + failed, row[2] + 1]
         if self.test and build == self.test.key[0] and not request.judged:
             request.judged = True  # Danger: one failing request, retried, would count again and again.
-            self.test.innovation += self._evidence(request.kind.name, bad)
             self.test.outcomes += 1
-
-    def _evidence(self, name: str, bad: bool) -> float:
-        p0 = self._p0(name)
-        p1 = p0 + MARGIN
-        return math.log(p0 / p1) if bad else math.log((1 - p0) / (1 - p1))
+            self.test.innovation += evidence(failed, self._p0(request.kind.name), MARGIN)
+            p0_late = self._p0_late()
+            if late is not None and p0_late is not None:
+                self.test.innovation += evidence(late, p0_late, LATE_MARGIN)
+            if self.rollout and self.rollout.flag_share and not failed:
+                self.test.innovation += evidence(False, self._p0_flag(), MARGIN * self.rollout.flag_share)
 
     def _disputed(self, event: api.AnswerDisputed) -> None:
-        server, rollout = self.servers.get(event.server), self.rollout
-        if server and self.test and rollout and server.info.build == self.test.key[0] and (
-                self._age(server) > event.age):
-            # A wrong answer counted as good when it came; each one told stands for those that were not.
-            weight = 1 / max(rollout.flag_share, 0.1)
-            self.test.innovation += weight * (self._evidence(event.class_name, True)
-                                              - self._evidence(event.class_name, False))
+        # Danger: a wrong answer counts as a good one when it comes; only a flag tells, and some flags err.
+        server, test = self.servers.get(event.server), self.test
+        if server is None or self._age(server) <= event.age:
+            return  # it was another build's, or another start's
+        self.flags[server.info.build] = self.flags.get(server.info.build, 0) + 1
+        if test and self.rollout and self.rollout.flag_share and server.info.build == test.key[0]:
+            p0, margin = self._p0_flag(), MARGIN * self.rollout.flag_share
+            test.innovation += evidence(True, p0, margin) - evidence(False, p0, margin)
+
+    def _p0_flag(self) -> float:
+        """The share of the earlier build's answers that were disputed, kept off zero."""
+        build = self._earlier()
+        answers = sum(row[2] for (b, _), row in self.failures.items() if b == build)
+        return max((self.flags.get(build or -1, 0) + 1) / (answers + 1 / FLAG_FLOOR), FLAG_FLOOR)
 
     def _hear(self, event: api.PeerMessage) -> None:
         """Danger: a peer on another build or stage, or a mangled message, must not reach the score."""
-        words = event.text.split(" ")
-        if self.test is None or event.sender not in self.peers or len(words) != 6 or words[0] != "s":
+        if self.test is None or event.sender not in self.peers:
             return
         try:
-            key = (int(words[1]), int(words[2]))
-            score, innovation, count = (float(word) for word in words[3:])
+            mark, build, stage, *numbers = event.text.split(" ")
+            key = (int(build), int(stage))
+            score, innovation, count = (float(number) for number in numbers)
         except ValueError:
             return
-        if key == self.test.key and abs(score) + abs(innovation) < 1e4 and 0 <= count < 1e6:
+        if mark == "s" and key == self.test.key and abs(score) + abs(innovation) < 1e4 and 0 <= count < 1e6:
             self.test.heard[event.sender] = (score + innovation, count, self.test.ticks)
 
-    def _tick(self) -> None:
-        test = self.test
-        if test is None:
-            return
+    def _tick(self, test: Test) -> None:
+        me = self.set.agent
         own, count = test.score + test.innovation, test.count + test.outcomes
         if self.limits.peers:
             text = f"s {test.key[0]} {test.key[1]} {test.score:.4f} {test.innovation:.4f} {count:.3f}"
             for peer in self.peers:
                 self._act(api.TellPeer(peer, text))
-        score, mixed = 0.0, 0.0
-        for j in (self.set.agent, *self.peers):
+        test.score = test.count = 0.0
+        for j in (me, *self.peers):
             # Danger: a silent peer freezes its term. After a few ticks its weight goes back to our own.
             term, counted, at = test.heard.get(j, (own, count, -HEARD_LIFE - 1))
-            if j == self.set.agent or test.ticks - at > HEARD_LIFE:
+            if j == me or test.ticks - at > HEARD_LIFE:
                 term, counted = own, count
-            score += self.matrix[self.set.agent][j] * term
-            mixed += self.matrix[self.set.agent][j] * counted
-        test.score, test.count, test.innovation, test.outcomes = score, mixed, 0.0, 0
+            test.score += self.matrix[me][j] * term
+            test.count += self.matrix[me][j] * counted
+        test.innovation, test.outcomes = 0.0, 0
         test.ticks += 1
         self._vote(test)
 
     def _vote(self, test: Test) -> None:
-        rollout = self.rollout
-        if rollout is None or self.news is None:
+        rollout, trial = self.rollout, self.news is not None and self.news.phase is Phase.TRIAL
+        if rollout is None:
             return
         upper, lower = self._band()
         age = self.now - test.since
         verdict, pooled = Verdict.NONE, test.count * self.set.agents
         if pooled >= LEAST_POOLED and age >= rollout.least_stage_time:
-            moves = rollout.control is api.Control.VOTES and self.news.phase is Phase.TRIAL
+            moves = trial and rollout.control is api.Control.VOTES
             timed = age >= rollout.least_stage_time + TIMED_ON and test.score > lower / 2
             if test.score <= lower:
                 verdict = Verdict.BACK
             elif moves and (test.score >= upper or timed):
                 verdict = Verdict.ON
-            elif not moves and self.news.phase is Phase.TRIAL and test.score < lower / 2:
+            elif trial and not moves and test.score < lower / 2:
                 verdict = Verdict.HOLD
         # What was earned beyond the band must not hide a build that sours later.
         test.score = min(test.score, upper)
         last = self.ballot if self.ballot and self.ballot.key == test.key else None
-        if verdict is Verdict.NONE and (last is None or last.verdict is not Verdict.HOLD):
-            return
-        if last and last.verdict is verdict and self.now < last.renew_at:
+        stands = last.verdict if last else Verdict.NONE
+        if (verdict is Verdict.NONE and stands is not Verdict.HOLD) or (
+                last and stands is verdict and self.now < last.renew_at):
             return
-        if verdict is not (last.verdict if last else None):
+        if verdict is not stands:
             self._act(api.Log(
                 f"vote {verdict.name} build {test.key[0]} stage {test.key[1]}: score {test.score:.2f} "
                 f"in {lower:.2f}..{upper:.2f}, {pooled:.0f} outcomes, p0 {self._p0(None):.3f}"))
--- a/frostfall/state.py
+++ b/frostfall/state.py
@@ -68,6 +68,7 @@
     event: api.RequestArrived
     kind: api.RequestClass
     arrived_at: int
+    group: str = ""  # what the cap on exposure counts it with
     attempts: list[Attempt] = field(default_factory=list)
     done: bool = False
     streaming: bool = False
