--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -39,8 +39,7 @@
 OVERDUE = 3.0  # usual answer times after which an open attempt speaks against its server
 SHUN_FIRST, SHUN_MOST = 300_000, 4_000_000  # how long an unreachable server is left alone, doubling
 PROBE_PERIOD = 1_000_000  # per server, where load is told to probes alone: under a point in the listed prices
-FILL = 0.6  # of the aim: how long answers may take before no more is sent than is served
-SPARE = 0.3  # part of what may be open that is kept for the classes of the highest worth
+FILL, SPARE = 0.6, 0.3  # of the aim: how long answers may take; of what may be open: kept for the worthiest
 
 
 def links(agents: int) -> list[list[int]]:
@@ -102,8 +101,8 @@
     def __init__(self, settings: api.Settings, seed: int) -> None:
         """Take the settings; nothing is known of the fleet yet."""
         self.set, self.rollout = settings, settings.rollout
-        self.limits, self.rules = settings.limits, settings.rules
-        self.random, self.now = random.Random(seed), 0
+        self.limits, self.rules, self.now = settings.limits, settings.rules, 0
+        self.random, self.probing = random.Random(seed), settings.load_by_probe and settings.limits.probes
         self.kinds = {kind.name: kind for kind in settings.classes}
         self.actions: list[api.Action] = []
         self.servers: dict[int, Known] = {}
@@ -187,8 +186,7 @@
             server.errors -= server.errors * BEAT / FORGET
             server.slow += (1 - server.slow) * BEAT / FORGET
             server.others += (others - server.others) * BEAT / FORGET
-            probing = self.set.load_by_probe and self.limits.probes
-            if probing and self.now - server.probed_at >= PROBE_PERIOD:
+            if self.probing and self.now - server.probed_at >= PROBE_PERIOD:
                 server.probed_at = self.now - self.random.randrange(BEAT)
                 self._act(api.ProbeServer(server.info.id))
         for name in list(self.held):
