--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -31,8 +31,8 @@
 HEARD_LIFE = 3  # ticks that a peer's term may be reused before its weight goes back to self
 COLD_USE = 0.4  # part of the cold budget we use: leaves room for chance and for heavy requests
 COLD_LEAST = 0.3  # sends per second that a cold server gets of each agent though it has nothing served yet
-SCATTER = 0.15  # random part of a cost: agents that know the same must not all pick the same server
-EAGER = 0.5  # doublings by which a trial build is preferred before there is evidence: delay has a price
+KEEN = 4.0  # a server is drawn with odds of its cost to minus this power
+EAGER = 0.25  # doublings by which a trial build is preferred (delay has a price); its score takes or doubles it
 FORGET = 3_000_000  # what is known of a server's load, speed and errors fades towards the fleet's
 ANSWER_EARLY = 10_000  # a request is concluded so long before its deadline
 RETRY_SHARE, RETRY_DEPTH = 0.15, 6.0  # further attempts per request taken, and how many may be saved up
@@ -353,7 +353,9 @@
         if options:
             self.held.pop(request.event.request, None)
             preferred = [s for s in options if self._wanted(request, s)] or options
-            self._send(request, min(preferred, key=lambda s: (self._cost(request, s), s.info.id)))
+            # Danger: many agents with the same late reports all rush to the server that looks idle.
+            odds = [self._cost(request, s) ** -KEEN for s in preferred]
+            self._send(request, self.random.choices(preferred, odds)[0])
         elif (self.now - request.arrived_at < request.kind.aim // 3
               and len(request.attempts) < self.limits.max_attempts):
             self.held[request.event.request] = None
@@ -384,7 +386,7 @@
             cost *= server.slow / self._capacity(server) / (1.0 - min(server.errors, 0.9)) ** 2
         else:
             short = self.test.count * self.set.agents < LEAST_POOLED  # a cold machine's errors tell, too
-            cost *= 2.0 ** -(EAGER + max(self._lean(), 0.0)) / (1.0 if short else self._capacity(server))
+            cost *= 2.0 ** -(EAGER * (1 + self._lean())) / (1.0 if short else self._capacity(server))
         if server.out and self.usual:  # Danger: a lost, stuck or slow server looks idle to its list.
             overdue = (self.now - min(server.out.values())) / self.usual / OVERDUE
             cost *= min(max(overdue, 1.0), 10.0)
@@ -392,7 +394,7 @@
             cost *= 1 + 5 * self.set.prices.cross_zone
         if request.event.key and self.rollout and self.rollout.warm_keys:
             cost *= 0.85 + 0.3 * crc32(f"{request.event.key}/{info.id}".encode()) / 2**32
-        return cost * (1 + SCATTER * self.random.random())
+        return cost
 
     def _timeout(self, request: Request) -> int:
         """A further attempt must be possible and affordable for the first to be cut short."""
