--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -32,7 +32,7 @@
 COLD_USE = 0.4  # part of the cold budget we use: leaves room for chance and for heavy requests
 COLD_LEAST = 0.3  # sends per second that a cold server gets of each agent though it has nothing served yet
 KEEN = 4.0  # a server is drawn with odds of its cost to minus this power
-EAGER = 0.25  # doublings by which a trial build is preferred (delay has a price); its score takes or doubles it
+EAGER = 0.25  # doublings by which a trial build is preferred, as delay has a price
 FORGET = 3_000_000  # what is known of a server's load, speed and errors fades towards the fleet's
 ANSWER_EARLY = 10_000  # a request is concluded so long before its deadline
 RETRY_SHARE, RETRY_DEPTH = 0.15, 6.0  # further attempts per request taken, and how many may be saved up
@@ -56,20 +56,18 @@
 def weights(agents: int) -> list[list[float]]:
     """The weight matrix: 1 / (1 + the larger end degree) a link, the rest on self."""
     near = links(agents)
-    matrix = [[0.0] * agents for _ in range(agents)]
-    for i, each in enumerate(near):
-        for j in each:
-            matrix[i][j] = 1.0 / (1 + max(len(each), len(near[j])))
-        matrix[i][i] = 1.0 - sum(matrix[i])
+    matrix = [[1.0 / (1 + max(len(near[i]), len(near[j]))) if j in near[i] else 0.0 for j in range(agents)]
+              for i in range(agents)]
+    for i, row in enumerate(matrix):
+        row[i] = 1.0 - sum(row)
     return matrix
 
 
 def mixing_rate(matrix: list[list[float]]) -> float:
     """r, the second largest eigenvalue magnitude of a weight matrix, by power iteration on W - J."""
-    n = len(matrix)
-    vector, size = [math.sin(1.0 + i) for i in range(n)], 0.0
+    vector, size = [math.sin(1.0 + i) for i in range(len(matrix))], 0.0
     for _ in range(300):
-        mean = sum(vector) / n
+        mean = sum(vector) / len(matrix)
         vector = [sum(w * (v - mean) for w, v in zip(row, vector, strict=True)) for row in matrix]
         size = math.sqrt(sum(v * v for v in vector))
         if size < 1e-12:
@@ -112,8 +110,8 @@
         self.retry_tokens = RETRY_DEPTH
         self.mean_time: dict[str, float] = {}  # answer time by class
         self.mean_hint: dict[str, float] = {}
-        self.usual, self.open = 0.0, 0  # answer time of all classes; attempts out
-        self.ask_backoff, self.asked_at = SHUN_FIRST, -(1 << 60)
+        self.usual, self.open, self.crowd = 0.0, 0, 1.0  # answer time; attempts out; mean load of a server
+        self.ask_backoff, self.ask_at = SHUN_FIRST, 0
         # exposure
         self.news: api.RolloutNews | None = None
         self.taken: defaultdict[str, deque[int]] = defaultdict(deque)
@@ -146,8 +144,6 @@
                 self._ended(event)
             case api.TimerFired(token="beat"):
                 self._beat()
-            case api.TimerFired(token="subscribe"):
-                self._subscribe()
             case api.TimerFired() if request := self.requests.get(event.token):
                 self._give_up(request)
             case api.PeerMessage():
@@ -177,6 +173,7 @@
         self.rate *= math.exp(-BEAT / 2e6)
         up = sum(s.info.availability is Availability.UP for s in self.servers.values())
         earned = max(COLD_USE * self.rules.fall_multiple * self.rate / max(up, 1), COLD_LEAST) * BEAT / 1e6
+        self.crowd = sum(map(self._load, self.servers.values())) / max(len(self.servers), 1) or 1.0
         others = sum(s.others for s in self.servers.values()) / max(len(self.servers), 1)
         for server in self.servers.values():
             # Danger: agents together push a cold server over. Our part of what a server carries (served: more
@@ -194,19 +191,16 @@
                 self._place(request)
         if self.beats % BEATS_PER_TICK == 0 and self.test:
             self._tick(self.test)
-        if self.set.must_subscribe and self.now - self.asked_at >= self.rules.ask_within:
-            self._subscribe()
+        if self.set.must_subscribe and self.now >= self.ask_at:
+            self.ask_at = self.now + self.rules.ask_within
+            self._act(api.Subscribe())
 
     # ---- the server list ---------------------------------------------------------------------------------
 
-    def _subscribe(self) -> None:
-        self.asked_at = self.now
-        self._act(api.Subscribe())
-
     def _listed(self, event: api.ServersListed) -> None:
         if event.kind is api.ListKind.FAILED:
             # Danger: without a subscription we send to servers that have left. Ask again, ever more slowly.
-            self._act(api.SetTimer(self.ask_backoff + self.random.randrange(100_000), "subscribe"))
+            self.ask_at = self.now + self.ask_backoff + self.random.randrange(100_000)
             self.ask_backoff = min(self.ask_backoff * 2, SHUN_MOST)
             return
         self.ask_backoff = SHUN_FIRST
@@ -234,9 +228,8 @@
 
     def _may_send(self, request: Request, server: Known) -> bool:
         kind, tries, info = request.kind, request.attempts, server.info
-        if request.done or self.now >= request.event.deadline or len(tries) >= self.limits.max_attempts:
-            return False
-        if info.availability is not Availability.UP or self.servers.get(info.id) is not server:
+        if (request.done or self.now >= request.event.deadline or len(tries) >= self.limits.max_attempts
+                or info.availability is not Availability.UP or self.servers.get(info.id) is not server):
             return False
         parallel = self.limits.parallel_attempts and kind.effect is Effect.SAFE
         if not parallel and any(earlier.outcome is None for earlier in tries):
@@ -298,8 +291,9 @@
         if not server.out:
             server.heard_at = self.now
         self.open += 1
+        attempt = Attempt(server, self.now, max(1.0, self._load(server) / self.crowd))
         server.out[name, len(request.attempts)] = self.now
-        request.attempts.append(Attempt(server, self.now))
+        request.attempts.append(attempt)
         self._act(api.SendAttempt(name, server.info.id, self._timeout(request)))
 
     def _give_up(self, request: Request) -> None:
@@ -342,12 +336,13 @@
     def _room(self, request: Request) -> bool:
         # Danger: when more is asked than can be served, all answers come late. So no more is kept open than
         # is served in a part of the aim (Little's law), and the least worthy class finds no room first.
-        best = max((kind.worth for kind in self.set.classes), default=0.0) or 1.0
+        best = max((kind.worth for kind in self.set.classes), default=1.0)
         fit = max(self.rate * FILL * request.kind.aim / 1e6 + 2, len(self.servers) / 2)
-        return self.open < fit * (1 - SPARE + SPARE * request.kind.worth / best)
+        return self.open < fit * (1 - SPARE + SPARE * request.kind.worth / max(best, 1e-9))
 
     def _place(self, request: Request) -> None:
         """Send to the best server that the guards allow, or hold the request for a while."""
+        most = self.limits.max_attempts
         options = [s for s in self.servers.values() if s.shunned_until <= self.now
                    and self._may_send(request, s)] if self._room(request) else []
         if options:
@@ -356,8 +351,7 @@
             # Danger: many agents with the same late reports all rush to the server that looks idle.
             odds = [self._cost(request, s) ** -KEEN for s in preferred]
             self._send(request, self.random.choices(preferred, odds)[0])
-        elif (self.now - request.arrived_at < request.kind.aim // 3
-              and len(request.attempts) < self.limits.max_attempts):
+        elif self.now - request.arrived_at < request.kind.aim // 3 and len(request.attempts) < most:
             self.held[request.event.request] = None
         else:
             self._give_up(request)
@@ -368,25 +362,34 @@
         score = self.test.score if self.test else 0.0
         return max(-1.0, min(1.0, score / upper if score > 0 else -score / lower))
 
+    def _short(self) -> bool:
+        return self.test is not None and self.test.count * self.set.agents < LEAST_POOLED
+
     def _wanted(self, request: Request, server: Known) -> bool:
         """Whether the build's score so far lets this request go to it by choice."""
-        if not self._on_trial(server.info.build):
+        build, news = server.info.build, self.news
+        if news is None or not self._on_trial(build):
             return True
-        if self.news is None or self.news.phase is not Phase.TRIAL or self._lean() <= -1:
+        # Danger: if a low score stopped the traffic before a vote has its outcomes, there would be no vote.
+        if news.phase is not Phase.TRIAL or (self._lean() <= -1 and not self._short()):
             return False
-        later = server.info.build == self.news.build and self.news.stage > 0
-        return later or request.kind.effect is Effect.SAFE
+        return request.kind.effect is Effect.SAFE or (build == news.build and news.stage > 0)
+
+    def _load(self, server: Known) -> float:
+        return (1.0 + len(server.out) + server.others) / max(server.info.size, 0.1)
 
     def _cost(self, request: Request, server: Known) -> float:
         """Expected time there: queue, speed, errors, the way to it, and what its build has scored."""
         info = server.info
-        cost = (1.0 + len(server.out) + server.others) / max(info.size, 0.1)
-        # Danger: shunning a failing trial build would end the evidence on it. Its score judges it instead.
+        cost = self._load(server)
+        # Danger: shunning a failing trial build would end the evidence on it; its score judges it instead. It
+        # is preferred more where the old servers stay, as the new ones then come on top.
         if not (self.test and info.build == self.test.key[0]):
             cost *= server.slow / self._capacity(server) / (1.0 - min(server.errors, 0.9)) ** 2
         else:
-            short = self.test.count * self.set.agents < LEAST_POOLED  # a cold machine's errors tell, too
-            cost *= 2.0 ** -(EAGER * (1 + self._lean())) / (1.0 if short else self._capacity(server))
+            extra = self.news and self.rollout and self.rollout.keeps_old_servers
+            eager = EAGER * (2 + 4 * self.news.cap if self.news and extra else 1) * (1 + self._lean())
+            cost *= 2.0 ** -eager / (1.0 if self._short() else self._capacity(server))
         if server.out and self.usual:  # Danger: a lost, stuck or slow server looks idle to its list.
             overdue = (self.now - min(server.out.values())) / self.usual / OVERDUE
             cost *= min(max(overdue, 1.0), 10.0)
@@ -439,10 +442,9 @@
             server.shun = min(max(server.shun * 2, SHUN_FIRST), SHUN_MOST)
             server.shunned_until = self.now + server.shun
             return
-        if event.outcome is Outcome.OVERLOADED:
-            server.shunned_until = self.now + SHUN_FIRST
         if event.outcome in (Outcome.SUCCESS, Outcome.ERROR, Outcome.OVERLOADED):
             server.heard_at, server.shun = self.now, 0
+            server.shunned_until = self.now + SHUN_FIRST * (event.outcome is Outcome.OVERLOADED)
         if event.outcome in (Outcome.SUCCESS, Outcome.ERROR, Outcome.TIMED_OUT, Outcome.RESET):
             server.errors += 0.15 * ((event.outcome is not Outcome.SUCCESS) - server.errors)
         self.rate += 0.5 * (event.outcome is Outcome.SUCCESS)
@@ -461,8 +463,7 @@
         return work * self.mean_time.get(name, request.kind.aim / 2)
 
     def _report(self, server: Known, load: api.Load | None) -> None:
-        held = (load.held if load.held is not None else load.queued) if load else None
-        if held is not None:
+        if load and (held := load.held if load.held is not None else load.queued) is not None:
             server.others += 0.5 * (max(0.0, held - len(server.out)) - server.others)
 
     def _probed(self, event: api.ProbeEnded) -> None:
@@ -499,8 +500,7 @@
         build = self._earlier()
         rows = {cls: row for (b, cls), row in self.failures.items() if b == build}
         total, bad = sum(row[0] for row in rows.values()), sum(row[1] for row in rows.values())
-        p0 = (bad + PRIOR_BAD * PRIOR_WEIGHT) / (total + PRIOR_WEIGHT)
-        row = rows.get(name or "", [0.0, 0.0])
+        p0, row = (bad + PRIOR_BAD * PRIOR_WEIGHT) / (total + PRIOR_WEIGHT), rows.get(name or "", [0.0, 0.0])
         return min((row[1] + p0 * PRIOR_WEIGHT) / (row[0] + PRIOR_WEIGHT), 0.9 - MARGIN)
 
     def _p0_late(self) -> float | None:
@@ -529,8 +529,9 @@
             return
         build, failed, late = server.info.build, event.outcome is Outcome.ERROR, None
         if self._age(server) >= SETTLE and not failed:  # a cold machine is slow whatever its build
-            limit = min(LATE_AIMS * request.kind.aim, LATE_TIMES * self._usual(request))
-            late = event.outcome is Outcome.TIMED_OUT or event.elapsed > limit
+            # Danger: machines of the trial build that are sent more than others are slower for that alone.
+            limit = min(LATE_AIMS * request.kind.aim, LATE_TIMES * self._usual(request) * attempt.crowding)
+            late = event.elapsed > limit
             row = self.lateness.setdefault(build, [0.0, 0.0, float(self.now)])
             fade = math.exp((row[2] - self.now) / LATE_MEMORY)
             row[:] = [row[0] * fade + 1, row[1] * fade + late, self.now]
@@ -600,8 +601,7 @@
         rollout, trial = self.rollout, self.news is not None and self.news.phase is Phase.TRIAL
         if rollout is None:
             return
-        upper, lower = self._band()
-        age = self.now - test.since
+        (upper, lower), age = self._band(), self.now - test.since
         verdict, pooled = Verdict.NONE, test.count * self.set.agents
         if pooled >= LEAST_POOLED and age >= rollout.least_stage_time:
             moves = trial and rollout.control is api.Control.VOTES
--- a/frostfall/state.py
+++ b/frostfall/state.py
@@ -53,6 +53,7 @@
 
     server: Known
     sent_at: int
+    crowding: float = 1.0  # how much more the server had to do than others when it was sent
     outcome: Outcome | None = None
 
     @property
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -11,7 +11,7 @@
 from frostfall import interface as api
 from frostfall.brain import divergence, links, mixing_rate, threshold, weights
 from frostfall.state import Test as SequentialTest
-from tests.support import ROLLOUT, SETTINGS, Agent, S, rollout, sends, server, votes
+from tests.support import ROLLOUT, SAFE, SETTINGS, UNSAFE, Agent, S, rollout, sends, server, votes
 
 
 @pytest.mark.parametrize("agents", [1, 2, 3, 5, 8, 13])
@@ -193,3 +193,76 @@
     assert len(votes(agent.pass_time(S))) == 1
     test.score = -50.0
     assert votes(agent.pass_time(ROLLOUT.vote_life))
+
+
+def test_a_low_score_does_not_stop_the_traffic_before_a_vote_has_its_outcomes() -> None:
+    agent = Agent(SETTINGS, server(1), server(9, build=2))
+    agent.news(2, cap=1.0)
+    test = agent.brain.test
+    assert test is not None
+    test.score, test.count = -50.0, 4.0
+    assert 9 in {send.server for _ in range(20) for send in sends(agent.ask())}
+    test.count = 40.0
+    assert 9 not in {send.server for _ in range(20) for send in sends(agent.ask())}
+
+
+def test_lateness_counts_against_the_earlier_build_of_the_same_moment_only() -> None:
+    agent = Agent(SETTINGS, server(1), server(9, build=2))
+    agent.news(2, cap=1.0)
+    brain = agent.brain
+    assert brain._p0_late() is None
+    brain.failures[1, "read"] = [100.0, 0.0, 100.0]
+    brain.lateness[1] = [40.0, 4.0, float(agent.now)]
+    assert brain._p0_late() == pytest.approx(5 / 50)
+    agent.advance(5 * S)
+    assert brain._p0_late() is None  # a slow spell since then would be taken for a slow build
+
+
+def test_a_crowded_server_is_excused_for_being_slow() -> None:
+    agent = Agent(SETTINGS, server(1), server(9, build=2))
+    agent.news(2, cap=1.0)
+    brain = agent.brain
+    brain.mean_time["read"], brain.crowd = 100_000.0, 1.0
+    for others, late in ((0.0, 1.0), (2.0, 0.0)):
+        brain.lateness.clear()
+        brain.servers[1].others = brain.servers[9].others = others
+        send, = sends(agent.ask())
+        agent.end(send, elapsed=400_000)
+        row, = brain.lateness.values()
+        assert row[1] == late
+
+
+def test_a_silent_server_is_no_evidence_on_its_build() -> None:
+    agent = Agent(SETTINGS, server(9, build=2))
+    agent.news(2, cap=1.0)
+    send, = sends(agent.ask())
+    agent.advance(2 * S)
+    agent.end(send, api.Outcome.TIMED_OUT, elapsed=2 * S)
+    assert agent.brain.test is not None
+    assert agent.brain.test.outcomes == 0
+
+
+def test_what_is_open_is_bounded_and_the_least_worthy_class_goes_first() -> None:
+    agent = Agent(SETTINGS, server(1), server(2))
+    agent.brain.rate, agent.brain.open = 10.0, 7
+    request = [agent.brain.requests[f"q{i}"] for i in (1, 2) if agent.ask(SAFE if i == 1 else UNSAFE)]
+    agent.brain.open = 7
+    assert [agent.brain._room(each) for each in request] == [False, True]
+    agent.brain.open = 8
+    assert not agent.brain._room(request[1])
+
+
+def test_many_agents_do_not_all_pick_the_same_server() -> None:
+    picked = {sends(Agent(SETTINGS, *(server(i) for i in range(8)), seed=seed).ask())[0].server
+              for seed in range(30)}
+    assert len(picked) >= 6
+
+
+def test_what_made_a_server_look_bad_fades() -> None:
+    agent = Agent(SETTINGS, server(1), server(2))
+    known = agent.brain.servers[1]
+    known.slow, known.errors, known.others = 8.0, 0.9, 30.0
+    agent.pass_time(12 * S)
+    assert known.slow < 1.2
+    assert known.errors < 0.05
+    assert known.others < 30
