--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -13,6 +13,7 @@
 
 from frostfall import interface as api
 from frostfall.interface import Availability, Effect, Outcome, Phase, Verdict, VoteReply
+from frostfall.linalg import second_eigenvalue
 from frostfall.state import Attempt, Ballot, Known, Request, Test
 
 # ---- constants: time in microseconds -----------------------------------------------------------------------
@@ -32,8 +33,9 @@
 COLD_USE = 0.4  # part of the cold budget we use: leaves room for chance and for heavy requests
 COLD_LEAST = 0.3  # sends per second that a cold server gets of each agent though it has nothing served yet
 KEEN = 4.0  # a server is drawn with odds of its cost to minus this power
-EAGER = 0.25  # doublings by which a trial build is preferred, as delay has a price
-FORGET = 3_000_000  # what is known of a server's load, speed and errors fades towards the fleet's
+EAGER = 0.25  # doublings of load by which a trial build is preferred, as delay has a price; where old servers
+# stay, more in step with the new ones that run, for a few machines cannot take much more than their share
+FORGET, STALE = 3_000_000, 500_000  # what is known of a server's speed, or its load, fades to the fleet's
 ANSWER_EARLY = 10_000  # a request is concluded so long before its deadline
 RETRY_SHARE, RETRY_DEPTH = 0.15, 6.0  # further attempts per request taken, and how many may be saved up
 OVERDUE = 3.0  # usual answer times after which an open attempt speaks against its server
@@ -63,19 +65,6 @@
     return matrix
 
 
-def mixing_rate(matrix: list[list[float]]) -> float:
-    """r, the second largest eigenvalue magnitude of a weight matrix, by power iteration on W - J."""
-    vector, size = [math.sin(1.0 + i) for i in range(len(matrix))], 0.0
-    for _ in range(300):
-        mean = sum(vector) / len(matrix)
-        vector = [sum(w * (v - mean) for w, v in zip(row, vector, strict=True)) for row in matrix]
-        size = math.sqrt(sum(v * v for v in vector))
-        if size < 1e-12:
-            return 0.0
-        vector = [v / size for v in vector]
-    return min(size, 1.0)
-
-
 def evidence(bad: bool, p0: float, margin: float) -> float:
     """Log-likelihood ratio of one outcome: bad share p0 against p0 + margin; below zero speaks for bad."""
     return math.log(p0 / (p0 + margin)) if bad else math.log((1 - p0) / (1 - p0 - margin))
@@ -106,7 +95,8 @@
         self.servers: dict[int, Known] = {}
         self.requests: dict[str, Request] = {}
         self.held: dict[str, None] = {}  # requests with no server to go to yet, in order
-        self.beats, self.rate = 0, 0.0  # the rate: requests served per second, over the last two
+        self.beats, self.rate, self.eager = 0, 0.0, EAGER  # the rate: requests served per second
+        self.norms: dict[int, tuple[float, float]] = {}  # by build: mean errors and slowness of its machines
         self.retry_tokens = RETRY_DEPTH
         self.mean_time: dict[str, float] = {}  # answer time by class
         self.mean_hint: dict[str, float] = {}
@@ -121,7 +111,7 @@
         # the test
         self.matrix = weights(settings.agents)
         self.peers = links(settings.agents)[settings.agent] if settings.agent < settings.agents else []
-        self.r = mixing_rate(self.matrix)
+        self.r = second_eigenvalue(self.matrix)
         self.failures: dict[tuple[int, str], list[float]] = {}  # by build, class: outcomes, failed, all ever
         self.flags: dict[int, int] = {}  # answers disputed, by build
         self.lateness: dict[int, list[float]] = {}  # by build: answers, late ones, when last counted
@@ -171,10 +161,18 @@
         self._act(api.SetTimer(BEAT, "beat"))
         self.beats += 1
         self.rate *= math.exp(-BEAT / 2e6)
-        up = sum(s.info.availability is Availability.UP for s in self.servers.values())
-        earned = max(COLD_USE * self.rules.fall_multiple * self.rate / max(up, 1), COLD_LEAST) * BEAT / 1e6
-        self.crowd = sum(map(self._load, self.servers.values())) / max(len(self.servers), 1) or 1.0
-        others = sum(s.others for s in self.servers.values()) / max(len(self.servers), 1)
+        on_top = self.rollout is not None and self.rollout.keeps_old_servers
+        up = [s for s in self.servers.values() if s.info.availability is Availability.UP]
+        count, builds = max(len(up), 1), defaultdict[int, list[Known]](list)
+        for server in up:
+            builds[server.info.build].append(server)
+        self.norms = {build: (sum(s.errors for s in each) / len(each), sum(s.slow for s in each) / len(each))
+                      for build, each in builds.items()}
+        new = len(builds.get(self.test.key[0], ())) if self.test else 0
+        self.eager = EAGER * (1 + 8 * new / count if on_top else 1)
+        earned = max(COLD_USE * self.rules.fall_multiple * self.rate / count, COLD_LEAST) * BEAT / 1e6
+        self.crowd = sum(map(self._load, up)) / count or 1.0
+        others = sum(s.others for s in up) / count
         for server in self.servers.values():
             # Danger: agents together push a cold server over. Our part of what a server carries (served: more
             # may be asked than can be done), times its least capacity now, is safe if all keep to theirs.
@@ -182,7 +180,7 @@
             # Danger: a server that looks bad gets nothing, so nothing corrects the look.
             server.errors -= server.errors * BEAT / FORGET
             server.slow += (1 - server.slow) * BEAT / FORGET
-            server.others += (others - server.others) * BEAT / FORGET
+            server.others += (others - server.others) * BEAT / STALE
             if self.probing and self.now - server.probed_at >= PROBE_PERIOD:
                 server.probed_at = self.now - self.random.randrange(BEAT)
                 self._act(api.ProbeServer(server.info.id))
@@ -302,8 +300,8 @@
             return
         self._cancel(request)
         wait = min(self.limits.max_retry_after, request.kind.aim // 2) * self.limits.retry_after
-        name = request.event.request
-        self._act(api.Refuse(name, wait) if self._may_refuse(request) else api.Fail(name))
+        refuse, name = self._may_refuse(request), request.event.request
+        self._act(api.Refuse(name, wait) if refuse else api.Fail(name))
         self._close(request)
 
     def _cancel(self, request: Request) -> None:
@@ -382,14 +380,14 @@
         """Expected time there: queue, speed, errors, the way to it, and what its build has scored."""
         info = server.info
         cost = self._load(server)
-        # Danger: shunning a failing trial build would end the evidence on it; its score judges it instead. It
-        # is preferred more where the old servers stay, as the new ones then come on top.
-        if not (self.test and info.build == self.test.key[0]):
-            cost *= server.slow / self._capacity(server) / (1.0 - min(server.errors, 0.9)) ** 2
-        else:
-            extra = self.news and self.rollout and self.rollout.keeps_old_servers
-            eager = EAGER * (2 + 4 * self.news.cap if self.news and extra else 1) * (1 + self._lean())
-            cost *= 2.0 ** -eager / (1.0 if self._short() else self._capacity(server))
+        # Danger: shunning a failing trial build would end the evidence on it, and shunning only the failing
+        # machines of the earlier one would flatter p0. So a machine is held against others of its build.
+        errors, slow = self.norms.get(info.build, (0.0, 1.0))
+        cost *= server.slow / slow / (1.0 - min(max(server.errors - errors, 0.0), 0.9)) ** 2
+        if self.test and info.build == self.test.key[0]:
+            cost *= 2.0 ** -(self.eager * (1 + self._lean()))
+        if not (self.test and info.build == self.test.key[0] and self._short()):
+            cost /= self._capacity(server)
         if server.out and self.usual:  # Danger: a lost, stuck or slow server looks idle to its list.
             overdue = (self.now - min(server.out.values())) / self.usual / OVERDUE
             cost *= min(max(overdue, 1.0), 10.0)
@@ -450,7 +448,7 @@
         self.rate += 0.5 * (event.outcome is Outcome.SUCCESS)
         if event.outcome in (Outcome.SUCCESS, Outcome.TIMED_OUT):
             times = event.elapsed / max(self._usual(request), 1.0)
-            server.slow += 0.15 * (min(max(times, 0.3), 8.0) - server.slow)
+            server.slow += 0.07 * (min(max(times, 0.3), 8.0) - server.slow)
             mean = self.mean_time.setdefault(name, float(event.elapsed))
             self.mean_time[name] += 0.03 * (event.elapsed - mean)
             self.usual += 0.03 * (event.elapsed - self.usual)
