--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -201,9 +201,8 @@
             self.ask_at = self.now + self.ask_backoff + self.random.randrange(100_000)
             self.ask_backoff = min(self.ask_backoff * 2, SHUN_MOST)
             return
-        self.ask_backoff = SHUN_FIRST
+        self.ask_backoff, listed = SHUN_FIRST, {info.id for info in event.servers}
         if event.kind is not api.ListKind.CHANGES:
-            listed = {info.id for info in event.servers}
             self.servers = {name: s for name, s in self.servers.items() if name in listed}
         for info in event.servers:
             old = self.servers.get(info.id)
@@ -248,8 +247,8 @@
 
     def _may_refuse(self, request: Request) -> bool:
         harmless = request.kind.effect is Effect.KEYED and request.kind.key_group is api.KeyGroup.ALL
-        return (harmless or request.kind.effect is Effect.SAFE
-                or not any(attempt.may_have_run for attempt in request.attempts))
+        harmless = harmless or request.kind.effect is Effect.SAFE
+        return harmless or not any(attempt.may_have_run for attempt in request.attempts)
 
     def _on_trial(self, build: int) -> bool:
         news = self.news if self.rollout else None
@@ -355,10 +354,10 @@
             self._give_up(request)
 
     def _lean(self) -> float:
-        """The mixed score's place in its band, from -1 (back) to 1 (on)."""
-        upper, lower = self._band()
-        score = self.test.score if self.test else 0.0
-        return max(-1.0, min(1.0, score / upper if score > 0 else -score / lower))
+        """The worst mixed score's place in its band, from -1 (back) to 1 and more (on)."""
+        scored = zip(self.test.score if self.test else (), self._bands())
+        places = [score / upper if score > 0 else -score / lower for score, (upper, lower) in scored]
+        return max(-1.0, min(places, default=0.0))
 
     def _short(self) -> bool:
         return self.test is not None and self.test.count * self.set.agents < LEAST_POOLED
@@ -385,7 +384,7 @@
         errors, slow = self.norms.get(info.build, (0.0, 1.0))
         cost *= server.slow / slow / (1.0 - min(max(server.errors - errors, 0.0), 0.9)) ** 2
         if self.test and info.build == self.test.key[0]:
-            cost *= 2.0 ** -(self.eager * (1 + self._lean()))
+            cost *= 2.0 ** -(self.eager * (1 + min(self._lean(), 1.0)))
         if not (self.test and info.build == self.test.key[0] and self._short()):
             cost /= self._capacity(server)
         if server.out and self.usual:  # Danger: a lost, stuck or slow server looks idle to its list.
@@ -508,14 +507,18 @@
             return None
         return min((late + 1) / (answers + 10), 0.9 - LATE_MARGIN)
 
-    def _band(self) -> tuple[float, float]:
-        test, n = self.test, self.set.agents
-        if test is None:
-            return math.inf, -math.inf
-        p0, late = self._p0(None), self._p0_late()
-        m = divergence(p0 + MARGIN, p0) + (divergence(late + LATE_MARGIN, late) if late else 0.0)
-        m *= test.count / max(test.ticks, 1)
-        return threshold(ALPHA, n, self.r, m), -threshold(BETA / n, n, self.r, m)
+    def _streams(self, name: str | None = None) -> list[tuple[float, float] | None]:
+        # Failures, lateness and disputes, each with its p0 and p1 - p0, or None where it cannot be told.
+        # Danger: in one sum, a build that errs in one way is covered by how well it does in the others.
+        late, share = self._p0_late(), self.rollout.flag_share if self.rollout else 0.0
+        return [(self._p0(name), MARGIN), (late, LATE_MARGIN) if late is not None else None,
+                (self._p0_flag(), MARGIN * share) if share else None]
+
+    def _bands(self) -> list[tuple[float, float]]:
+        """The upper and the lower threshold of each stream; wide where there is nothing to test."""
+        n, pace = self.set.agents, self.test.count / max(self.test.ticks, 1) if self.test else 0.0
+        rates = [divergence(sum(stream), stream[0]) * pace if stream else 0.0 for stream in self._streams()]
+        return [(threshold(ALPHA, n, self.r, m), -threshold(BETA / n, n, self.r, m)) for m in rates]
 
     def _judge(self, request: Request, attempt: Attempt, event: api.AttemptEnded) -> None:
         """Turn one outcome into evidence on the trial build, or on the build that it is measured against."""
@@ -540,12 +543,9 @@
         if self.test and build == self.test.key[0] and not request.judged:
             request.judged = True  # Danger: one failing request, retried, would count again and again.
             self.test.outcomes += 1
-            self.test.innovation += evidence(failed, self._p0(request.kind.name), MARGIN)
-            p0_late = self._p0_late()
-            if late is not None and p0_late is not None:
-                self.test.innovation += evidence(late, p0_late, LATE_MARGIN)
-            if self.rollout and self.rollout.flag_share and not failed:
-                self.test.innovation += evidence(False, self._p0_flag(), MARGIN * self.rollout.flag_share)
+            facts = (failed, late, None if failed else False)
+            for k, (bad, stream) in enumerate(zip(facts, self._streams(request.kind.name))):
+                self.test.innovation[k] += evidence(bad, *stream) if bad is not None and stream else 0.0
 
     def _disputed(self, event: api.AnswerDisputed) -> None:
         # Danger: a wrong answer counts as a good one when it comes; only a flag tells, and some flags err.
@@ -553,9 +553,9 @@
         if server is None or self._age(server) <= event.age:
             return  # it was another build's, or another start's
         self.flags[server.info.build] = self.flags.get(server.info.build, 0) + 1
-        if test and self.rollout and self.rollout.flag_share and server.info.build == test.key[0]:
-            p0, margin = self._p0_flag(), MARGIN * self.rollout.flag_share
-            test.innovation += evidence(True, p0, margin) - evidence(False, p0, margin)
+        stream = self._streams()[2]
+        if test and stream and server.info.build == test.key[0]:
+            test.innovation[2] += evidence(True, *stream) - evidence(False, *stream)
 
     def _p0_flag(self) -> float:
         """The share of the earlier build's answers that were disputed, kept off zero."""
@@ -570,28 +570,30 @@
         try:
             mark, build, stage, *numbers = event.text.split(" ")
             key = (int(build), int(stage))
-            score, innovation, count = (float(number) for number in numbers)
+            *scores, count = (float(number) for number in numbers)
         except ValueError:
             return
-        if mark == "s" and key == self.test.key and abs(score) + abs(innovation) < 1e4 and 0 <= count < 1e6:
-            self.test.heard[event.sender] = (score + innovation, count, self.test.ticks)
+        sane = len(scores) == 6 and max(map(abs, scores)) < 1e4 and 0 <= count < 1e6
+        if mark == "s" and key == self.test.key and sane:
+            terms = [a + b for a, b in zip(scores[:3], scores[3:])]
+            self.test.heard[event.sender] = (terms, count, self.test.ticks)
 
     def _tick(self, test: Test) -> None:
         me = self.set.agent
-        own, count = test.score + test.innovation, test.count + test.outcomes
+        own = [score + fresh for score, fresh in zip(test.score, test.innovation)]
+        count = test.count + test.outcomes
         if self.limits.peers:
-            text = f"s {test.key[0]} {test.key[1]} {test.score:.4f} {test.innovation:.4f} {count:.3f}"
+            numbers = " ".join(f"{number:.3f}" for number in (*test.score, *test.innovation, count))
             for peer in self.peers:
-                self._act(api.TellPeer(peer, text))
-        test.score = test.count = 0.0
+                self._act(api.TellPeer(peer, f"s {test.key[0]} {test.key[1]} {numbers}"))
+        test.score, test.innovation, test.count, test.outcomes = [0.0] * 3, [0.0] * 3, 0.0, 0
         for j in (me, *self.peers):
             # Danger: a silent peer freezes its term. After a few ticks its weight goes back to our own.
-            term, counted, at = test.heard.get(j, (own, count, -HEARD_LIFE - 1))
+            terms, counted, at = test.heard.get(j, (own, count, -HEARD_LIFE - 1))
             if j == me or test.ticks - at > HEARD_LIFE:
-                term, counted = own, count
-            test.score += self.matrix[me][j] * term
+                terms, counted = own, count
+            test.score = [score + self.matrix[me][j] * term for score, term in zip(test.score, terms)]
             test.count += self.matrix[me][j] * counted
-        test.innovation, test.outcomes = 0.0, 0
         test.ticks += 1
         self._vote(test)
 
@@ -599,28 +601,27 @@
         rollout, trial = self.rollout, self.news is not None and self.news.phase is Phase.TRIAL
         if rollout is None:
             return
-        (upper, lower), age = self._band(), self.now - test.since
+        place, age, bands = self._lean(), self.now - test.since, self._bands()
         verdict, pooled = Verdict.NONE, test.count * self.set.agents
         if pooled >= LEAST_POOLED and age >= rollout.least_stage_time:
             moves = trial and rollout.control is api.Control.VOTES
-            timed = age >= rollout.least_stage_time + TIMED_ON and test.score > lower / 2
-            if test.score <= lower:
+            timed = age >= rollout.least_stage_time + TIMED_ON and place > -0.5
+            if place <= -1:
                 verdict = Verdict.BACK
-            elif moves and (test.score >= upper or timed):
+            elif moves and (place >= 1 or timed):
                 verdict = Verdict.ON
-            elif trial and not moves and test.score < lower / 2:
+            elif trial and not moves and place < -0.5:
                 verdict = Verdict.HOLD
         # What was earned beyond the band must not hide a build that sours later.
-        test.score = min(test.score, upper)
+        test.score = [min(score, band[0]) for score, band in zip(test.score, bands)]
         last = self.ballot if self.ballot and self.ballot.key == test.key else None
-        stands = last.verdict if last else Verdict.NONE
-        if (verdict is Verdict.NONE and stands is not Verdict.HOLD) or (
-                last and stands is verdict and self.now < last.renew_at):
+        stands, held = last.verdict if last else Verdict.NONE, last is not None and self.now < last.renew_at
+        if (verdict is stands and held) or (verdict is Verdict.NONE and stands is not Verdict.HOLD):
             return
         if verdict is not stands:
-            self._act(api.Log(
-                f"vote {verdict.name} build {test.key[0]} stage {test.key[1]}: score {test.score:.2f} "
-                f"in {lower:.2f}..{upper:.2f}, {pooled:.0f} outcomes, p0 {self._p0(None):.3f}"))
+            scores = ", ".join(f"{s:.2f} in {b[1]:.2f}..{b[0]:.2f}" for s, b in zip(test.score, bands))
+            self._act(api.Log(f"vote {verdict.name} build {test.key[0]} stage {test.key[1]}: failures, late, "
+                              f"disputes {scores}, {pooled:.0f} outcomes, p0 {self._p0(None):.3f}"))
         self._act(api.CastVote(test.key[0], max(test.key[1], 0), verdict))
-        renew = max(rollout.vote_life * 3 // 4, rollout.vote_timeout)
-        self.ballot = Ballot(verdict, test.key, self.now + renew)
+        life = max(rollout.vote_life * 3 // 4, rollout.vote_timeout)
+        self.ballot = Ballot(verdict, test.key, self.now + life)
--- a/frostfall/state.py
+++ b/frostfall/state.py
@@ -14,12 +14,12 @@
 
     key: tuple[int, int]
     since: int
-    score: float = 0.0
+    score: list[float] = field(default_factory=lambda: [0.0] * 3)  # failures, lateness, disputes
     count: float = 0.0  # outcomes per agent, mixed like the score
-    innovation: float = 0.0
+    innovation: list[float] = field(default_factory=lambda: [0.0] * 3)
     outcomes: int = 0
     ticks: int = 0
-    heard: dict[int, tuple[float, float, int]] = field(default_factory=dict)
+    heard: dict[int, tuple[list[float], float, int]] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
