--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -87,11 +87,11 @@
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
         """Take the settings; nothing is known of the fleet yet."""
-        self.set, self.rollout = settings, settings.rollout
-        self.limits, self.rules, self.now = settings.limits, settings.rules, 0
+        self.set, self.agents = settings, max(settings.agents, settings.agent + 1)
+        self.rollout, self.limits, self.rules = settings.rollout, settings.limits, settings.rules
         self.random, self.probing = random.Random(seed), settings.load_by_probe and settings.limits.probes
         self.kinds = {kind.name: kind for kind in settings.classes}
-        self.actions: list[api.Action] = []
+        self.now, self.actions = 0, list[api.Action]()
         self.servers: dict[int, Known] = {}
         self.requests: dict[str, Request] = {}
         self.held: dict[str, None] = {}  # requests with no server to go to yet, in order
@@ -109,8 +109,8 @@
         self.restarts: list[int] = []
         self.answered_by: dict[str, int] = {}  # one-way keys
         # the test
-        self.matrix = weights(settings.agents)
-        self.peers = links(settings.agents)[settings.agent] if settings.agent < settings.agents else []
+        self.matrix = weights(self.agents)
+        self.peers = links(self.agents)[settings.agent]
         self.r = second_eigenvalue(self.matrix)
         self.failures: dict[tuple[int, str], list[float]] = {}  # by build, class: outcomes, failed, all ever
         self.flags: dict[int, int] = {}  # answers disputed, by build
@@ -360,7 +360,7 @@
         return max(-1.0, min(places, default=0.0))
 
     def _short(self) -> bool:
-        return self.test is not None and self.test.count * self.set.agents < LEAST_POOLED
+        return self.test is not None and self.test.count * self.agents < LEAST_POOLED
 
     def _wanted(self, request: Request, server: Known) -> bool:
         """Whether the build's score so far lets this request go to it by choice."""
@@ -516,7 +516,7 @@
 
     def _bands(self) -> list[tuple[float, float]]:
         """The upper and the lower threshold of each stream; wide where there is nothing to test."""
-        n, pace = self.set.agents, self.test.count / max(self.test.ticks, 1) if self.test else 0.0
+        n, pace = self.agents, self.test.count / max(self.test.ticks, 1) if self.test else 0.0
         rates = [divergence(sum(stream), stream[0]) * pace if stream else 0.0 for stream in self._streams()]
         return [(threshold(ALPHA, n, self.r, m), -threshold(BETA / n, n, self.r, m)) for m in rates]
 
@@ -602,7 +602,7 @@
         if rollout is None:
             return
         place, age, bands = self._lean(), self.now - test.since, self._bands()
-        verdict, pooled = Verdict.NONE, test.count * self.set.agents
+        verdict, pooled = Verdict.NONE, test.count * self.agents
         if pooled >= LEAST_POOLED and age >= rollout.least_stage_time:
             moves = trial and rollout.control is api.Control.VOTES
             timed = age >= rollout.least_stage_time + TIMED_ON and place > -0.5
