--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -211,7 +211,7 @@
             elif old and (old.info.started_at, old.info.build) == (info.started_at, info.build):
                 old.info = info
             else:
-                self.servers[info.id] = Known(info, heard_at=self.now)
+                self.servers[info.id] = Known(info)
 
     def _age(self, server: Known) -> int:
         return self.now - server.info.started_at if server.info.started_at else 1 << 60
@@ -285,8 +285,6 @@
             raise AssertionError(f"policy chose to send {name} where the guards forbid it")
         self.exposed[server.info.build, request.group].append(self.now)
         server.credit = max(server.credit - 1, 0.0)
-        if not server.out:
-            server.heard_at = self.now
         self.open += 1
         attempt = Attempt(server, self.now, max(1.0, self._load(server) / self.crowd))
         server.out[name, len(request.attempts)] = self.now
@@ -344,9 +342,10 @@
                    and self._may_send(request, s)] if self._room(request) else []
         if options:
             self.held.pop(request.event.request, None)
-            preferred = [s for s in options if self._wanted(request, s)] or options
+            lean = self._lean()  # once for all servers: it costs a band
+            preferred = [s for s in options if self._wanted(request, s, lean)] or options
             # Danger: many agents with the same late reports all rush to the server that looks idle.
-            odds = [self._cost(request, s) ** -KEEN for s in preferred]
+            odds = [self._cost(request, s, lean) ** -KEEN for s in preferred]
             self._send(request, self.random.choices(preferred, odds)[0])
         elif self.now - request.arrived_at < request.kind.aim // 3 and len(request.attempts) < most:
             self.held[request.event.request] = None
@@ -362,20 +361,20 @@
     def _short(self) -> bool:
         return self.test is not None and self.test.count * self.agents < LEAST_POOLED
 
-    def _wanted(self, request: Request, server: Known) -> bool:
+    def _wanted(self, request: Request, server: Known, lean: float) -> bool:
         """Whether the build's score so far lets this request go to it by choice."""
         build, news = server.info.build, self.news
         if news is None or not self._on_trial(build):
             return True
         # Danger: if a low score stopped the traffic before a vote has its outcomes, there would be no vote.
-        if news.phase is not Phase.TRIAL or (self._lean() <= -1 and not self._short()):
+        if news.phase is not Phase.TRIAL or (lean <= -1 and not self._short()):
             return False
         return request.kind.effect is Effect.SAFE or (build == news.build and news.stage > 0)
 
     def _load(self, server: Known) -> float:
         return (1.0 + len(server.out) + server.others) / max(server.info.size, 0.1)
 
-    def _cost(self, request: Request, server: Known) -> float:
+    def _cost(self, request: Request, server: Known, lean: float) -> float:
         """Expected time there: queue, speed, errors, the way to it, and what its build has scored."""
         info = server.info
         cost = self._load(server)
@@ -383,9 +382,10 @@
         # machines of the earlier one would flatter p0. So a machine is held against others of its build.
         errors, slow = self.norms.get(info.build, (0.0, 1.0))
         cost *= server.slow / slow / (1.0 - min(max(server.errors - errors, 0.0), 0.9)) ** 2
-        if self.test and info.build == self.test.key[0]:
-            cost *= 2.0 ** -(self.eager * (1 + min(self._lean(), 1.0)))
-        if not (self.test and info.build == self.test.key[0] and self._short()):
+        trial = self.test is not None and info.build == self.test.key[0]
+        if trial:
+            cost *= 2.0 ** -(self.eager * (1 + min(lean, 1.0)))
+        if not (trial and self._short()):
             cost /= self._capacity(server)
         if server.out and self.usual:  # Danger: a lost, stuck or slow server looks idle to its list.
             overdue = (self.now - min(server.out.values())) / self.usual / OVERDUE
@@ -489,8 +489,8 @@
         if news.reply in (VoteReply.OVERLOADED, VoteReply.ERROR, VoteReply.UNKNOWN) and self.ballot:
             self.ballot.renew_at = self.now + 300_000 + self.random.randrange(500_000)
 
-    def _earlier(self) -> int | None:
-        return max((b for b, _ in self.failures if self.test and b < self.test.key[0]), default=None)
+    def _earlier(self) -> int:
+        return max((b for b, _ in self.failures if self.test and b < self.test.key[0]), default=-1)
 
     def _p0(self, name: str | None) -> float:
         """The earlier build's smoothed share of failures, of a class (leaning on that of all) or of all."""
@@ -502,7 +502,7 @@
 
     def _p0_late(self) -> float | None:
         """The earlier build's share of late answers now; None where it gives too few to compare with."""
-        answers, late, at = self.lateness.get(self._earlier() or -1, (0.0, 0.0, 0.0))
+        answers, late, at = self.lateness.get(self._earlier(), (0.0, 0.0, 0.0))
         if answers * math.exp((at - self.now) / LATE_MEMORY) < LATE_LEAST:
             return None
         return min((late + 1) / (answers + 10), 0.9 - LATE_MARGIN)
@@ -561,7 +561,7 @@
         """The share of the earlier build's answers that were disputed, kept off zero."""
         build = self._earlier()
         answers = sum(row[2] for (b, _), row in self.failures.items() if b == build)
-        return max((self.flags.get(build or -1, 0) + 1) / (answers + 1 / FLAG_FLOOR), FLAG_FLOOR)
+        return max((self.flags.get(build, 0) + 1) / (answers + 1 / FLAG_FLOOR), FLAG_FLOOR)
 
     def _hear(self, event: api.PeerMessage) -> None:
         """Danger: a peer on another build or stage, or a mangled message, must not reach the score."""
