--- a/frostfall/linalg.py
+++ b/frostfall/linalg.py
@@ -1,16 +1,27 @@
-"""The one piece of linear algebra that the test needs; it decides nothing."""
+"""The arithmetic that the test needs; it decides nothing."""
 
 import math
 
 
-def second_eigenvalue(matrix: list[list[float]]) -> float:
-    """Second largest eigenvalue magnitude of a symmetric stochastic matrix, by power iteration on W - J."""
-    vector, size = [math.sin(1.0 + i) for i in range(len(matrix))], 0.0
-    for _ in range(300):
-        mean = sum(vector) / len(matrix)
-        vector = [sum(w * (v - mean) for w, v in zip(row, vector, strict=True)) for row in matrix]
-        size = math.sqrt(sum(v * v for v in vector))
-        if size < 1e-12:
-            return 0.0
-        vector = [v / size for v in vector]
-    return min(size, 1.0)
+def mixing_rate(agents: int, exchanges: int) -> float:
+    """Second singular value of a round of pairwise averaging, that is, of the product of its weight matrices.
+
+    Each matrix averages i with c - i (mod agents); c moves on by 1, 2, 4 ... In the Fourier basis each one
+    projects the plane of the frequencies k and -k on a line; two whose c differ by d make an angle of
+    pi k d / agents, and the product of the cosines is this closed form.
+    """
+    if agents < 2:
+        return 0.0
+    spread = 1 << (exchanges - 1)
+    return max(abs(math.sin(spread * math.pi * k / agents) / (spread * math.sin(math.pi * k / agents)))
+               for k in range(1, agents // 2 + 1))
+
+
+def evidence(bad: bool, p0: float, margin: float) -> float:
+    """Log-likelihood ratio of one outcome: bad share p0 against p0 + margin; below zero speaks for bad."""
+    return math.log(p0 / (p0 + margin)) if bad else math.log((1 - p0) / (1 - p0 - margin))
+
+
+def divergence(p1: float, p0: float) -> float:
+    """Mean log-likelihood ratio of one outcome with bad share p1 against p0."""
+    return p1 * math.log(p1 / p0) + (1 - p1) * math.log((1 - p1) / (1 - p0))
--- a/frostfall/state.py
+++ b/frostfall/state.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import struct
+from base64 import b64decode, b64encode
 from dataclasses import dataclass, field
 
 from frostfall import interface as api
@@ -14,12 +16,51 @@
 
     key: tuple[int, int]
     since: int
+    base: list[float]  # per agent: the earlier build's outcomes, failed, timed, late; served per second
+    mix: list[float]  # being mixed in this round: score, count, base
     score: list[float] = field(default_factory=lambda: [0.0] * 3)  # failures, lateness, disputes
     count: float = 0.0  # outcomes per agent, mixed like the score
     innovation: list[float] = field(default_factory=lambda: [0.0] * 3)
     outcomes: int = 0
-    ticks: int = 0
-    heard: dict[int, tuple[list[float], float, int]] = field(default_factory=dict)
+    fresh: list[float] = field(default_factory=lambda: [0.0] * 4)  # of the earlier build, since the last step
+    heard: list[float] | None = None  # what this turn's partner sent
+    meets: int = 0  # exchanges of this round that took place
+    turns: int = 0
+    met: int = 0  # the same of the last round, and those that did not
+    missed: int = 0
+    steps: int = 0
+    lean: float = 0.0  # the worst score's place in its band
+    verdict: Verdict = Verdict.NONE
+    decided_at: int = 0
+
+
+LAYOUT = struct.Struct("<HbH9e")  # half precision is plenty for a mean that is mixed again and again
+LARGEST = 6e4  # what half precision can hold
+
+
+@dataclass(slots=True)
+class Exchange:
+    """What two agents tell each other in a turn, and its form on the way."""
+
+    build: int
+    stage: int
+    turn: int
+    numbers: list[float]
+
+    def encode(self) -> str:
+        """A short text, of the same length always."""
+        bounded = (min(max(number, -LARGEST), LARGEST) for number in self.numbers)
+        return b64encode(LAYOUT.pack(self.build, self.stage, self.turn & 0xFFFF, *bounded)).decode()
+
+    @classmethod
+    def decode(cls, text: str) -> Exchange | None:
+        """The same again, or None where the text is none of ours."""
+        try:
+            build, stage, turn, *numbers = LAYOUT.unpack(b64decode(text, validate=True))
+        except (ValueError, struct.error):
+            return None
+        sane = all(abs(number) <= LARGEST for number in numbers) and min(numbers[3:]) >= 0
+        return cls(build, stage, turn, numbers) if sane else None
 
 
 @dataclass(slots=True)
@@ -38,13 +79,16 @@
     info: api.Server
     out: dict[tuple[str, int], int] = field(default_factory=dict)  # attempts out, by send time
     others: float = 0.0  # what the other agents have there, by its reports
+    told_at: int = 0  # when it last reported
     slow: float = 1.0  # answer times against the fleet's
     errors: float = 0.0  # recent share of errors
+    learned_at: int = 0  # when the last outcome told of these
     shunned_until: int = 0
     shun: int = 0  # the length of the last pause
     heard_at: int = 0
     probed_at: int = 0
-    credit: float = 0.0  # sends that the cold budget allows now
+    credit: float = 0.0  # sends that the cold budget allowed when it was last reckoned
+    credit_at: int = 0
 
 
 @dataclass(slots=True)
