--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -9,7 +9,6 @@
 import math
 import random
 from collections import defaultdict, deque
-from collections.abc import Callable
 from typing import Any
 from zlib import crc32
 
@@ -18,13 +17,12 @@
 from frostfall.linalg import divergence, evidence, mixing_rate
 from frostfall.state import Attempt, Ballot, Exchange, Known, Request, Test
 
-# ---- constants: time in microseconds -----------------------------------------------------------------------
+# Constants: time in microseconds.
 TICK, HOLD = 100_000, 50_000  # one exchange, longer than a message takes; how often a held request is tried
 ALPHA, BETA, MARGIN = 0.05, 0.05, 0.05  # the design's: chances of a wrong 'on', 'back' (shared out); p1 - p0
 LATE_AIMS, LATE_TIMES, LATE_MARGIN = 1.5, 2.5, 0.2  # late is over so many aims, or usual times; its p1 - p0
-LATE_MEMORY, LATE_LEAST, LATE_PART = 1e6, 15.0, 0.33  # answers of the same moment, against the trial's too
-SETTLE = 5_000_000  # the design: younger machines may still be slow
-LEAST_POOLED = 10  # the design: outcomes that a vote needs
+LATE_MEMORY, LATE_LEAST, LATE_PART = 5e5, 15.0, 0.33  # answers of the same moment, against the trial's too
+SETTLE, LEAST_POOLED = 5_000_000, 10  # the design: younger machines may be slow; outcomes that a vote needs
 PRIOR_BAD, PRIOR_WEIGHT = 0.01, 50.0  # p0 before outcomes, and how many outcomes it is worth: keeps p0 off 0
 FLAG_FLOOR = 0.003  # disputes of right answers that are always reckoned with
 MEMORY = 600.0  # pooled outcomes that p0 remembers; counted, not timed: it stands when no old server is left
@@ -36,15 +34,14 @@
 KEEN = 4.0  # a server is drawn with odds of its cost to minus this power
 EAGER = 0.25  # doublings of load by which a trial build is preferred; more with its part if old ones stay
 LEARN_ERRORS, LEARN_SLOW, LEARN_NORM, LEARN_MEAN = 0.15, 0.07, 0.05, 0.03  # weight of one outcome in a mean
-RATE_MEMORY = 2_000_000  # what is served is counted over so long
 FORGET, STALE = 3_000_000, 500_000  # what is known of a server's speed, or its load, fades to the fleet's
-TRUST = 1_000_000  # how long after a report the odds lean on it, as it can correct a preference
+RATE_MEMORY, TRUST = 2_000_000, 1_000_000  # served is counted over so long; how long odds lean on a report
 ANSWER_EARLY = 10_000  # a request is concluded so long before its deadline
 RETRY_SHARE, RETRY_DEPTH = 0.15, 6.0  # further attempts per request taken, and how many may be saved up
 OVERDUE = 3.0  # usual answer times after which an open attempt speaks against its server
 SHUN_FIRST, SHUN_MOST = 300_000, 4_000_000  # how long an unreachable server is left alone, doubling
 PROBE_SHARE = 0.5  # probes per request taken, where load is told to probes alone: half a point as listed
-ASK_APART = 200_000  # of all agents' calls to discovery, which answers one caller after another
+APART = 200_000  # of all agents' calls to discovery, which answers one caller after another
 FILL, SPARE = 0.6, 0.3  # of the aim: how long answers may take; of what may be open: kept for the worthiest
 
 
@@ -82,7 +79,7 @@
         self.kinds = {kind.name: kind for kind in settings.classes}
         self.now, self.actions = 0, list[api.Action]()
         self.servers, self.requests = dict[int, Known](), dict[str, Request]()
-        self.held: dict[str, None] = {}  # requests with no server to go to yet, in order
+        self.held: dict[str, Request] = {}  # requests with no server to go to yet, in order
         self.rate, self.rate_at = 0.0, 0  # requests served per second
         self.fleet, self.trials, self.eager = list[Known](), list[Known](), EAGER  # servers up; on trial
         self.norms = defaultdict[int, list[float]](lambda: [0.0, 1.0])  # by build: mean errors and slowness
@@ -102,7 +99,7 @@
         self.flags: dict[int, int] = {}  # answers disputed, by build
         self.test: Test | None = None
         self.ballot: Ballot | None = None
-        self.handlers: dict[type, Callable[[Any], None]] = {
+        self.handlers: dict[type, Any] = {
             api.RequestArrived: self._arrive, api.AttemptEnded: self._ended, api.TimerFired: self._timer,
             api.PeerMessage: self._hear, api.ServersListed: self._listed, api.RolloutNews: self._news,
             api.ProbeEnded: self._probed, api.AnswerDisputed: self._disputed, api.StreamStarted: self._marked,
@@ -113,8 +110,7 @@
         self.now, self.actions = now, []
         self._act(api.SetTimer(TICK - now % TICK, "tick"))  # by the clock, so that agents exchange in step
         # Danger: hundreds of agents that start together and ask at once are turned away.
-        spread = min(self.agents * ASK_APART, self.rules.ask_within) / 5
-        self.ask_at = now + int(self.random.random() * spread)
+        self.ask_at = now + self.random.randrange(min(self.agents * APART, self.rules.ask_within) // 5 + 1)
         return self.actions
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
@@ -132,11 +128,10 @@
             self._tick()
         elif event.token == "hold":
             self.holding = False
-            for name in list(self.held):
-                if request := self.requests.get(name):
-                    self._place(request)
-        elif request := self.requests.get(event.token):
-            self._give_up(request)
+            for request in list(self.held.values()):
+                self._place(request)
+        elif late := self.requests.get(event.token):
+            self._give_up(late)
 
     def _marked(self, event: api.StreamStarted | api.ClientLeft) -> None:
         if request := self.requests.get(event.request):
@@ -153,7 +148,7 @@
             self.ask_backoff = min(self.ask_backoff * 2, SHUN_MOST)
             return
         if event.kind is not api.ListKind.REMEMBERED:  # which nobody was asked for
-            self.ask_at = self.now + max(self.rules.ask_within, self.agents * ASK_APART)
+            self.ask_at = self.now + max(self.rules.ask_within, self.agents * APART)
         self.ask_backoff, listed = SHUN_FIRST, {info.id for info in event.servers}
         whole = event.kind is not api.ListKind.CHANGES
         self.servers = {name: s for name, s in self.servers.items() if name in listed or not whole}
@@ -192,7 +187,7 @@
         # Our part of what a server carries (served: more may be asked than can be done), times its least
         # capacity now, is safe up to the multiple that fells it, less chance, if all keep to theirs.
         served, count = self._served(), max(len(self.fleet), 1)
-        everyone = max(served, self.test.base[5] * self._pool(self.test) if self.test else 0.0)
+        everyone = max(served, self.test.served * self._pool(self.test) if self.test else 0.0)
         most = self.rules.fall_multiple * self._capacity(server) / count
         budget = max(most * everyone * self.rules.fall_window / 1e6, 1e-9)
         safe = max(1 + (LUCK ** 2 - LUCK * math.sqrt(2 * budget + LUCK ** 2)) / budget, 0.0)
@@ -224,9 +219,8 @@
         return same and self.now - earlier.sent_at < kind.key_ttl
 
     def _may_refuse(self, request: Request) -> bool:
-        effect, group = request.kind.effect, request.kind.key_group
-        harmless = effect is Effect.SAFE or (effect is Effect.KEYED and group is api.KeyGroup.ALL)
-        return harmless or not any(attempt.may_have_run for attempt in request.attempts)
+        anywhere = request.kind.effect is Effect.KEYED and request.kind.key_group is api.KeyGroup.ALL
+        return anywhere or request.kind.effect is Effect.SAFE or not any(a.may_have_run for a in request.attempts)
 
     def _on_trial(self, build: int) -> bool:
         news = self.news if self.rollout else None
@@ -299,8 +293,8 @@
         self.retry_tokens = min(self.retry_tokens + RETRY_SHARE, RETRY_DEPTH)
         self.taken[group].append(self.now)
         self.probe_tokens = min(self.probe_tokens + PROBE_SHARE, 2.0)
-        mean = self.mean_hint.setdefault(kind.name, float(event.hint or 0))
-        self.mean_hint[kind.name] += 0.02 * ((event.hint or mean) - mean)
+        mean = self.mean_hint.get(kind.name, float(event.hint or 0))
+        self.mean_hint[kind.name] = mean + LEARN_MEAN * ((event.hint or mean) - mean)
         self._act(api.SetTimer(max(left - ANSWER_EARLY, 0), event.request))
         self._place(request)
 
@@ -331,7 +325,7 @@
             mean = sum(map(self._load, options)) / len(options)
             self._send(request, self.random.choices(preferred, odds)[0], mean)
         elif self.now - request.arrived_at < request.kind.aim // 3:
-            self.held[request.event.request] = None
+            self.held[request.event.request] = request
             if not self.holding:
                 self.holding = True
                 self._act(api.SetTimer(HOLD, "hold"))
@@ -461,18 +455,17 @@
     # ---- the mechanism: consensus+innovations SPRT -------------------------------------------------------
 
     def _news(self, news: api.RolloutNews) -> None:
-        old = self.news
         if news.reply in (VoteReply.NONE, VoteReply.COUNTED):
-            if old and news.cap < old.cap:
+            if self.news and news.cap < self.news.cap:
                 self.restarts.append(self.now + self.rules.drain_grace)
             self.news = news
             key = (news.build, news.stage if news.phase is Phase.TRIAL else -1)
             if news.phase in (Phase.GOING_BACK, Phase.WITHDRAWN):
                 self.test = None
             elif self.test is None or self.test.key != key:
-                same = self.test.base if self.test and self.test.key[0] == news.build else None
-                base = same or self._own_base(self._earlier(news.build))
-                self.test = Test(key, self.now - news.age, base, mix=[0.0] * 4 + base)
+                old = self.test
+                base = old.base if old and old.key[0] == news.build else self._own_base(news.build)
+                self.test = Test(key, self.now - news.age, base, [*[0.0] * 4, *base, *[0.0] * 5])
                 self._weigh()
         if news.reply in (VoteReply.OVERLOADED, VoteReply.ERROR, VoteReply.UNKNOWN) and self.ballot:
             self.ballot.renew_at = self.now + 300_000 + self.random.randrange(500_000)
@@ -481,20 +474,20 @@
         return max((b for b, _ in self.rows if b < build), default=-1)
 
     def _own_base(self, build: int) -> list[float]:
-        rows = [row for (b, _), row in self.rows.items() if b == build]
-        return [sum(row[0] for row in rows), sum(row[1] for row in rows), 0.0, 0.0, 0.0, self._served()]
+        earlier = self._earlier(build)
+        return [sum(row[k] for (b, _), row in self.rows.items() if b == earlier) for k in (0, 1)]
 
     def _p0(self, test: Test, name: str | None) -> float:
         # The earlier build's smoothed share of failures: of all agents, or of a class, leaning on that.
-        total, bad = (number * self._pool(test) for number in test.base[:2])
+        total, bad = (number * self._pool(test) for number in test.base)
         p0 = (bad + PRIOR_BAD * PRIOR_WEIGHT) / (total + PRIOR_WEIGHT)
         row = self.rows.get((self._earlier(test.key[0]), name or ""), [0.0, 0.0])
         return min((row[1] + p0 * PRIOR_WEIGHT) / (row[0] + PRIOR_WEIGHT), 0.9 - MARGIN)
 
     def _p0_late(self, test: Test) -> float | None:  # the earlier build's share of late answers now
-        answers, late, trial = (number * self._pool(test) for number in test.base[2:5])
+        answers, late = (number * self._pool(test) for number in test.recent)
         # Danger: what is left of an earlier build that leaves is idle; all of the trial is late against it.
-        enough = answers >= max(LATE_LEAST, LATE_PART * trial)
+        enough = answers >= LATE_LEAST and test.timed[0] >= LATE_PART * test.timed[2]
         return min((late + 1) / (answers + 10), 0.9 - LATE_MARGIN) if enough else None
 
     def _pool(self, test: Test) -> float:  # how many agents' numbers the mixed ones are the mean of
@@ -523,26 +516,27 @@
         # Danger: a server that has said nothing since is lost or cut off; that tells nothing of its build.
         test, build, failed = self.test, server.info.build, event.outcome is Outcome.ERROR
         late: bool | None = None
-        silent = event.outcome is Outcome.TIMED_OUT and server.heard_at <= attempt.sent_at
-        if silent or event.outcome not in (Outcome.SUCCESS, Outcome.ERROR, Outcome.TIMED_OUT):
+        slow = event.outcome is Outcome.TIMED_OUT and server.heard_at > attempt.sent_at
+        if not slow and event.outcome not in (Outcome.SUCCESS, Outcome.ERROR):
             return
-        if self._age(server) >= SETTLE and not failed:  # a cold machine is slow whatever its build
+        if attempt.sent_at - server.info.started_at >= SETTLE and not failed:  # a cold machine is slow
             # Danger: machines of the trial build that are sent more than others are slower for that alone.
             limit = min(LATE_AIMS * request.kind.aim, LATE_TIMES * self._usual(request) * attempt.crowding)
             late = event.elapsed > limit
-        if event.outcome is Outcome.TIMED_OUT and late is None:
+        if slow and late is None:
             return
         row = self.rows.setdefault((build, request.kind.name), [0.0, 0.0, 0.0])
         row[:] = [row[0] * (1 - 1 / MEMORY) + 1, row[1] * (1 - 1 / MEMORY) + failed, row[2] + 1]
-        if test and build < test.key[0]:
-            for k, more in enumerate((1, failed, late is not None, late or False)):
-                test.fresh[k] += more
-        elif test and build == test.key[0] and not request.judged:
-            test.fresh[4] += late is not None
+        if test is None or build > test.key[0] or request.judged:
+            return
+        trial, timed = build == test.key[0], (late is not None, late or False)
+        for k, more in enumerate((0, 0, 0, 0, *timed) if trial else (1, failed, *timed)):
+            test.fresh[k] += more
+        if trial:
             request.judged = True  # Danger: one failing request, retried, would count again and again.
             test.outcomes += 1
-            facts = (failed, late, None if failed else False)
-            for k, (bad, stream) in enumerate(zip(facts, self._streams(test, request.kind.name))):
+            for k, bad in ((0, failed), (2, None if failed else False)):
+                stream = self._streams(test, request.kind.name)[k]
                 test.innovation[k] += evidence(bad, *stream) if bad is not None and stream else 0.0
 
     def _disputed(self, event: api.AnswerDisputed) -> None:
@@ -566,7 +560,7 @@
     def _tick(self) -> None:
         self._act(api.SetTimer(TICK - self.now % TICK, "tick"))
         if self.set.must_subscribe and self.now >= self.ask_at:
-            self.ask_at = self.now + max(self.rules.ask_within, self.agents * ASK_APART)
+            self.ask_at = self.now + max(self.rules.ask_within, self.agents * APART)
             self._act(api.Subscribe())
         test, me, last, self.turn = self.test, self.set.agent, self.turn, self.now // TICK
         if test is None or self.rollout is None:
@@ -583,8 +577,15 @@
         self._cast(test, self.rollout)
 
     def _step(self, test: Test, rollout: api.Rollout) -> None:
-        test.score, test.count, test.base = test.mix[:3], test.mix[3], test.mix[4:]
         test.met, test.missed, test.meets, test.turns = test.meets, test.turns - test.meets, 0, 0
+        test.score, test.base, test.timed = test.mix[:3], test.mix[4:6], test.mix[6:10]
+        test.count, test.served = test.mix[3], test.mix[10]
+        # Danger: held against a p0 of a moment ago, the onset of a shared slowdown speaks against the trial.
+        fade = math.exp(-self.turns * TICK / LATE_MEMORY)
+        test.recent = [old * fade + new for old, new in zip(test.recent, test.timed)]
+        if (p0 := self._p0_late(test)) is not None:
+            good, bad = (evidence(late, p0, LATE_MARGIN) for late in (False, True))
+            test.score[1] += (test.timed[2] - test.timed[3]) * good + test.timed[3] * bad
         test.steps += 1
         bands = self._bands(test)
         test.lean = max(-1.0, min(score / upper if score > 0 else -score / lower
@@ -593,11 +594,10 @@
         # What was earned beyond the band must not hide a build that sours later.
         test.score = [min(score, band[0]) for score, band in zip(test.score, bands)]
         kept = min(1.0, MEMORY / self._pool(test) / max(test.base[0], 1e-9))
-        fade = math.exp(-self.turns * TICK / LATE_MEMORY)
-        base = [old * keep + new for old, new, keep in zip(test.base, test.fresh, (kept, kept, *[fade] * 3))]
+        base = (number * kept + fresh for number, fresh in zip(test.base, test.fresh))
         own = (score + fresh for score, fresh in zip(test.score, test.innovation))
-        test.mix = [*own, test.count + test.outcomes, *base, self._served()]
-        test.innovation, test.outcomes, test.fresh = [0.0] * 3, 0, [0.0] * 5
+        test.mix = [*own, test.count + test.outcomes, *base, *test.fresh[2:], self._served()]
+        test.innovation, test.outcomes, test.fresh = [0.0] * 3, 0, [0.0] * 6
 
     def _decide(self, test: Test, rollout: api.Rollout) -> None:
         trial = self.news is not None and self.news.phase is Phase.TRIAL
@@ -627,5 +627,5 @@
             self._act(api.Log(f"vote {verdict.name} build {test.key[0]} stage {test.key[1]}: failures, late, "
                               f"disputes {scores}, {counted:.0f} outcomes, p0 {self._p0(test, None):.3f}"))
         self._act(api.CastVote(test.key[0], max(test.key[1], 0), verdict))
-        life = max(rollout.vote_life * 3 // 4, rollout.vote_timeout)
-        self.ballot = Ballot(verdict, test.key, self.now + life)
+        renew_at = self.now + max(rollout.vote_life * 3 // 4, rollout.vote_timeout)
+        self.ballot = Ballot(verdict, test.key, renew_at)
--- a/frostfall/state.py
+++ b/frostfall/state.py
@@ -16,13 +16,16 @@
 
     key: tuple[int, int]
     since: int
-    base: list[float]  # the earlier build's outcomes, failed, timed, late; the trial's timed; served a second
-    mix: list[float]  # being mixed in this round: score, count, base
+    base: list[float]  # the earlier build's outcomes and failures, per agent
+    mix: list[float]  # being mixed in this round: score, count, base, timed, served
+    timed: list[float] = field(default_factory=lambda: [0.0] * 4)  # last round: earlier timed, late; trial so
+    recent: list[float] = field(default_factory=lambda: [0.0] * 2)  # earlier timed, late, fading
+    served: float = 0.0  # requests a second, per agent
     score: list[float] = field(default_factory=lambda: [0.0] * 3)  # failures, lateness, disputes
     count: float = 0.0  # outcomes per agent, mixed like the score
     innovation: list[float] = field(default_factory=lambda: [0.0] * 3)
     outcomes: int = 0
-    fresh: list[float] = field(default_factory=lambda: [0.0] * 5)  # the same since the last step
+    fresh: list[float] = field(default_factory=lambda: [0.0] * 6)  # base and timed, since the last step
     heard: list[float] | None = None  # what this turn's partner sent
     meets: int = 0  # exchanges of this round that took place
     turns: int = 0
@@ -34,7 +37,7 @@
     decided_at: int = 0
 
 
-LAYOUT = struct.Struct("<HbH10e")  # half precision is plenty for a mean that is mixed again and again
+LAYOUT = struct.Struct("<HbH11e")  # half precision is plenty for a mean that is mixed again and again
 LARGEST = 6e4  # what half precision can hold
 
 
