--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -219,8 +219,9 @@
         return same and self.now - earlier.sent_at < kind.key_ttl
 
     def _may_refuse(self, request: Request) -> bool:
-        anywhere = request.kind.effect is Effect.KEYED and request.kind.key_group is api.KeyGroup.ALL
-        return anywhere or request.kind.effect is Effect.SAFE or not any(a.may_have_run for a in request.attempts)
+        effect, group = request.kind.effect, request.kind.key_group
+        harmless = effect is Effect.SAFE or (effect is Effect.KEYED and group is api.KeyGroup.ALL)
+        return harmless or not any(attempt.may_have_run for attempt in request.attempts)
 
     def _on_trial(self, build: int) -> bool:
         news = self.news if self.rollout else None
@@ -600,8 +601,7 @@
         test.innovation, test.outcomes, test.fresh = [0.0] * 3, 0, [0.0] * 6
 
     def _decide(self, test: Test, rollout: api.Rollout) -> None:
-        trial = self.news is not None and self.news.phase is Phase.TRIAL
-        verdict, votes = Verdict.NONE, rollout.control is api.Control.VOTES
+        verdict, votes, trial = Verdict.NONE, rollout.control is api.Control.VOTES, test.key[1] >= 0
         if not self._short() and self.now - test.since >= rollout.least_stage_time:
             if test.lean <= -1:
                 verdict = Verdict.BACK
