--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -22,8 +22,10 @@
 ALPHA, BETA, MARGIN = 0.05, 0.05, 0.05  # the design's: chances of a wrong 'on', 'back' (shared out); p1 - p0
 LATE_AIMS, LATE_TIMES, LATE_MARGIN = 1.5, 2.5, 0.2  # late is over so many aims, or usual times; its p1 - p0
 LATE_MEMORY, LATE_LEAST, LATE_PART = 5e5, 15.0, 0.33  # answers of the same moment, against the trial's too
+LATE_MOST = 0.34  # of the way to 'back' in one round: answers that are late together tell one thing
 SETTLE, LEAST_POOLED = 5_000_000, 10  # the design: younger machines may be slow; outcomes that a vote needs
 PRIOR_BAD, PRIOR_WEIGHT = 0.01, 50.0  # p0 before outcomes, and how many outcomes it is worth: keeps p0 off 0
+LAST_MARGIN, LAST_TIME = 0.4, 8_000_000  # p1 - p0 against calmer times; how long it must last at least
 FLAG_FLOOR = 0.003  # disputes of right answers that are always reckoned with
 MEMORY = 600.0  # pooled outcomes that p0 remembers; counted, not timed: it stands when no old server is left
 VOTES_USE, LOGGED = 0.5, 3  # part of the platform's votes a second that is used, in turn; who logs its vote
@@ -46,11 +48,8 @@
 
 
 def partner(agent: int, agents: int, turn: int, turns: int) -> int:
-    """Whom an agent exchanges with in a turn: a pairing of all agents, the same everywhere; maybe itself.
-
-    Pairs i and c - i: with c moving on by 1, 2, 4 ... a round of so many turns spreads what each agent has
-    over all of them; the hashed start makes other pairs in every round.
-    """
+    """Whom an agent exchanges with in a turn: i with c - i, maybe itself."""
+    # c moves on by 1, 2, 4 ... from a hashed start: a round spreads what each agent has over all.
     return (crc32(b"%d" % (turn // turns)) + (1 << turn % turns) - agent) % agents
 
 
@@ -86,17 +85,15 @@
         self.retry_tokens, self.probe_tokens, self.holding = RETRY_DEPTH, 0.0, False
         self.mean_time, self.mean_hint = dict[str, float](), dict[str, float]()  # by class
         self.usual, self.open, self.others = 0.0, 0, 0.0  # answer time; attempts out; load by others
-        self.timed = defaultdict[str, int](int)
-        self.ask_backoff, self.ask_at = SHUN_FIRST, 0
+        self.timed, self.ask_backoff, self.ask_at = defaultdict[str, int](int), SHUN_FIRST, 0
         self.news: api.RolloutNews | None = None
         self.taken = defaultdict[str, deque[int]](deque)
         self.exposed = defaultdict[tuple[int, str], deque[int]](deque)
-        self.restarts: list[int] = []
-        self.answered_by: dict[str, int] = {}  # one-way keys
+        self.restarts, self.answered_by = list[int](), dict[str, int]()  # the latter of one-way keys
         self.turns, self.turn = round_length(self.agents), -1
         self.r = mixing_rate(self.agents, self.turns)
-        self.rows: dict[tuple[int, str], list[float]] = {}  # by build, class: own outcomes, failed, ever
-        self.flags: dict[int, int] = {}  # answers disputed, by build
+        self.rows = dict[tuple[int, str], list[float]]()  # by build, class: own outcomes, failed, ever
+        self.flags, self.calm = dict[int, int](), 0.0  # answers disputed, by build; late before the trial
         self.test: Test | None = None
         self.ballot: Ballot | None = None
         self.handlers: dict[type, Any] = {
@@ -139,8 +136,6 @@
             if not request.streaming:
                 self._close(request)
 
-    # ---- the server list ---------------------------------------------------------------------------------
-
     def _listed(self, event: api.ServersListed) -> None:
         if event.kind is api.ListKind.FAILED:
             # Danger: without a subscription we send to servers that have left. Ask again, ever more slowly.
@@ -268,8 +263,8 @@
             return
         self._cancel(request)
         wait = min(self.limits.max_retry_after, request.kind.aim // 2) * self.limits.retry_after
-        name, refuse = request.event.request, self._may_refuse(request)
-        self._act(api.Refuse(name, wait) if refuse else api.Fail(name))
+        kind = api.Refuse(request.event.request, wait) if self._may_refuse(request) else None
+        self._act(kind or api.Fail(request.event.request))
         self._close(request)
 
     def _cancel(self, request: Request) -> None:
@@ -283,8 +278,6 @@
         if all(attempt.outcome is not None for attempt in request.attempts):
             self.requests.pop(request.event.request, None)
 
-    # ---- the path of a request ---------------------------------------------------------------------------
-
     def _arrive(self, event: api.RequestArrived) -> None:
         left = event.deadline - self.now  # of a class that the settings do not name, the least is promised
         unknown = api.RequestClass(event.class_name, Effect.UNSAFE, api.KeyGroup.ALL, 0, left, left, 0.0)
@@ -380,9 +373,8 @@
 
     def _timeout(self, request: Request) -> int:
         kind, left = request.kind, request.event.deadline - self.now
-        if kind.effect is Effect.UNSAFE or kind.name not in self.mean_time or self.retry_tokens < 1:
-            return left
-        return min(left, int(max(6 * self.mean_time[kind.name], 0.7 * kind.aim)))
+        cut = int(max(6 * self.mean_time.get(kind.name, kind.deadline), 0.7 * kind.aim))
+        return left if kind.effect is Effect.UNSAFE or self.retry_tokens < 1 else min(left, cut)
 
     def _ended(self, event: api.AttemptEnded) -> None:
         request = self.requests.get(event.request)
@@ -409,8 +401,6 @@
         self.retry_tokens -= 1.0 if outcome is not Outcome.UNREACHABLE else 0.2
         return self._place(request)
 
-    # ---- health ------------------------------------------------------------------------------------------
-
     def _learn(self, request: Request, attempt: Attempt, event: api.AttemptEnded) -> None:
         server, name = attempt.server, request.kind.name
         if event.outcome is Outcome.UNREACHABLE:
@@ -453,8 +443,6 @@
             server.heard_at = self.now
             self._report(server, event.load)
 
-    # ---- the mechanism: consensus+innovations SPRT -------------------------------------------------------
-
     def _news(self, news: api.RolloutNews) -> None:
         if news.reply in (VoteReply.NONE, VoteReply.COUNTED):
             if self.news and news.cap < self.news.cap:
@@ -466,7 +454,7 @@
             elif self.test is None or self.test.key != key:
                 old = self.test
                 base = old.base if old and old.key[0] == news.build else self._own_base(news.build)
-                self.test = Test(key, self.now - news.age, base, [*[0.0] * 4, *base, *[0.0] * 5])
+                self.test = Test(key, self.now - news.age, base, [*[0.0] * 4, *base, *[0.0] * 6])
                 self._weigh()
         if news.reply in (VoteReply.OVERLOADED, VoteReply.ERROR, VoteReply.UNKNOWN) and self.ballot:
             self.ballot.renew_at = self.now + 300_000 + self.random.randrange(500_000)
@@ -515,15 +503,14 @@
     def _judge(self, request: Request, attempt: Attempt, event: api.AttemptEnded) -> None:
         server = attempt.server
         # Danger: a server that has said nothing since is lost or cut off; that tells nothing of its build.
-        test, build, failed = self.test, server.info.build, event.outcome is Outcome.ERROR
-        late: bool | None = None
+        test, build, failed, late = self.test, server.info.build, event.outcome is Outcome.ERROR, None
         slow = event.outcome is Outcome.TIMED_OUT and server.heard_at > attempt.sent_at
         if not slow and event.outcome not in (Outcome.SUCCESS, Outcome.ERROR):
             return
         if attempt.sent_at - server.info.started_at >= SETTLE and not failed:  # a cold machine is slow
             # Danger: machines of the trial build that are sent more than others are slower for that alone.
-            limit = min(LATE_AIMS * request.kind.aim, LATE_TIMES * self._usual(request) * attempt.crowding)
-            late = event.elapsed > limit
+            limit = min(LATE_AIMS * request.kind.aim, LATE_TIMES * self._usual(request))
+            late = event.elapsed > limit * attempt.crowding
         if slow and late is None:
             return
         row = self.rows.setdefault((build, request.kind.name), [0.0, 0.0, 0.0])
@@ -578,17 +565,26 @@
         self._cast(test, self.rollout)
 
     def _step(self, test: Test, rollout: api.Rollout) -> None:
-        test.met, test.missed, test.meets, test.turns = test.meets, test.turns - test.meets, 0, 0
+        # Danger: an agent that met all its partners, most of them cut off, has no more behind its numbers.
+        gone = test.turns - test.meets
+        test.steps, test.missed, test.meets, test.turns = test.steps + 1, max(gone, test.mix[11]), 0, 0
+        test.met = self.turns - test.missed
         test.score, test.base, test.timed = test.mix[:3], test.mix[4:6], test.mix[6:10]
         test.count, test.served = test.mix[3], test.mix[10]
         # Danger: held against a p0 of a moment ago, the onset of a shared slowdown speaks against the trial.
         fade = math.exp(-self.turns * TICK / LATE_MEMORY)
         test.recent = [old * fade + new for old, new in zip(test.recent, test.timed)]
-        if (p0 := self._p0_late(test)) is not None:
-            good, bad = (evidence(late, p0, LATE_MARGIN) for late in (False, True))
-            test.score[1] += (test.timed[2] - test.timed[3]) * good + test.timed[3] * bad
-        test.steps += 1
-        bands = self._bands(test)
+        bands, p0, margin, most = self._bands(test), self._p0_late(test), LATE_MARGIN, LATE_MOST
+        if p0 is not None and test.key[1] == 0 and self._short():
+            self.calm = p0
+        # Danger: a build that slows all servers alike has nothing to be held against once it is everywhere.
+        # Then calmer times serve as p0; only lateness that outlasts most others tells.
+        if p0 is None and self.calm and test.key[1] < 0:
+            p0, margin, most = min(self.calm, 0.9 - LAST_MARGIN), LAST_MARGIN, self.turns * TICK / LAST_TIME
+        if p0 is not None:
+            good, bad = (evidence(late, p0, margin) for late in (False, True))
+            gain = (test.timed[2] - test.timed[3]) * good + test.timed[3] * bad
+            test.score[1] += max(gain, bands[1][1] * most)
         test.lean = max(-1.0, min(score / upper if score > 0 else -score / lower
                                   for score, (upper, lower) in zip(test.score, bands)))
         self._decide(test, rollout)
@@ -597,7 +593,7 @@
         kept = min(1.0, MEMORY / self._pool(test) / max(test.base[0], 1e-9))
         base = (number * kept + fresh for number, fresh in zip(test.base, test.fresh))
         own = (score + fresh for score, fresh in zip(test.score, test.innovation))
-        test.mix = [*own, test.count + test.outcomes, *base, *test.fresh[2:], self._served()]
+        test.mix = [*own, test.count + test.outcomes, *base, *test.fresh[2:], self._served(), gone]
         test.innovation, test.outcomes, test.fresh = [0.0] * 3, 0, [0.0] * 6
 
     def _decide(self, test: Test, rollout: api.Rollout) -> None:
@@ -610,7 +606,7 @@
         if verdict is not test.verdict:
             test.verdict, test.decided_at = verdict, self.now
 
-    def _cast(self, test: Test, rollout: api.Rollout) -> None:
+    def _cast(self, test: Test, desk: api.Rollout) -> None:
         last, verdict = (self.ballot if self.ballot and self.ballot.key == test.key else None), test.verdict
         stands, held = last.verdict if last else Verdict.NONE, last is not None and self.now < last.renew_at
         if (verdict is stands and held) or (verdict is Verdict.NONE and stands is not Verdict.HOLD):
@@ -618,14 +614,13 @@
         # Danger: all agents see the same score, and the platform turns away what comes at once. They take
         # turns at a part of its rate; most find the stage moved before theirs comes.
         place = (self.set.agent + crc32(b"%d %d" % test.key)) % self.agents
-        if self.now < test.decided_at + place * 1e6 / max(rollout.votes_per_second * VOTES_USE, 1e-3):
+        if self.now < test.decided_at + place * 1e6 / max(desk.votes_per_second * VOTES_USE, 1e-3):
             return
         if verdict is not stands and place < LOGGED:
-            n, counted = self.agents, test.count * self._pool(test)
+            n, pooled = self.agents, test.count * self._pool(test)
             scores = ", ".join(f"{n * score:.2f} in {n * lower:.2f}..{n * upper:.2f}"
                                for score, (upper, lower) in zip(test.score, self._bands(test)))
             self._act(api.Log(f"vote {verdict.name} build {test.key[0]} stage {test.key[1]}: failures, late, "
-                              f"disputes {scores}, {counted:.0f} outcomes, p0 {self._p0(test, None):.3f}"))
+                              f"disputes {scores}, {pooled:.0f} outcomes, p0 {self._p0(test, None):.3f}"))
         self._act(api.CastVote(test.key[0], max(test.key[1], 0), verdict))
-        renew_at = self.now + max(rollout.vote_life * 3 // 4, rollout.vote_timeout)
-        self.ballot = Ballot(verdict, test.key, renew_at)
+        self.ballot = Ballot(verdict, test.key, self.now + max(desk.vote_life * 3 // 4, desk.vote_timeout))
--- a/frostfall/state.py
+++ b/frostfall/state.py
@@ -29,15 +29,15 @@
     heard: list[float] | None = None  # what this turn's partner sent
     meets: int = 0  # exchanges of this round that took place
     turns: int = 0
-    met: int = 0  # the same of the last round, and those that did not
-    missed: int = 0
+    met: float = 0.0  # the same of the last round, and those that did not, here or on the mean of all
+    missed: float = 0.0
     steps: int = 0
     lean: float = 0.0  # the worst score's place in its band
     verdict: Verdict = Verdict.NONE
     decided_at: int = 0
 
 
-LAYOUT = struct.Struct("<HbH11e")  # half precision is plenty for a mean that is mixed again and again
+LAYOUT = struct.Struct("<HbH12e")  # half precision is plenty for a mean that is mixed again and again
 LARGEST = 6e4  # what half precision can hold
 
 
