--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -313,9 +313,10 @@
             self.held.pop(request.event.request, None)
             preferred = [s for s in options if self._wanted(request, s)] or options
             preferred = [s for s in preferred if s in urgent] or preferred
-            # Danger: many agents with the same late reports all rush to the server that looks idle.
-            # Danger: where no load is known, nothing corrects a preference, and it floods what is preferred.
-            odds = [self._cost(request, s) ** -(1 + (KEEN - 1) * self._known(s)) for s in preferred]
+            # Danger: by late reports all rush to the server that looks idle; by none, to what is preferred.
+            costs = [self._cost(request, s) for s in preferred]
+            usual = sum(costs) / len(costs)
+            odds = [(cost / usual) ** -(1 + (KEEN - 1) * self._known(s)) for cost, s in zip(costs, preferred)]
             mean = sum(map(self._load, options)) / len(options)
             self._send(request, self.random.choices(preferred, odds)[0], mean)
         elif self.now - request.arrived_at < request.kind.aim // 3:
@@ -438,8 +439,7 @@
             self.others += LEARN_NORM * (server.others - self.others)
 
     def _probed(self, event: api.ProbeEnded) -> None:
-        server = self.servers.get(event.server)
-        if server and event.outcome is Outcome.SUCCESS:
+        if (server := self.servers.get(event.server)) and event.outcome is Outcome.SUCCESS:
             server.heard_at = self.now
             self._report(server, event.load)
 
