--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -214,8 +214,8 @@
         return same and self.now - earlier.sent_at < kind.key_ttl
 
     def _may_refuse(self, request: Request) -> bool:
-        effect, group = request.kind.effect, request.kind.key_group
-        harmless = effect is Effect.SAFE or (effect is Effect.KEYED and group is api.KeyGroup.ALL)
+        harmless = (request.kind.effect, request.kind.key_group) == (Effect.KEYED, api.KeyGroup.ALL)
+        harmless = harmless or request.kind.effect is Effect.SAFE
         return harmless or not any(attempt.may_have_run for attempt in request.attempts)
 
     def _on_trial(self, build: int) -> bool:
@@ -315,8 +315,8 @@
             preferred = [s for s in preferred if s in urgent] or preferred
             # Danger: by late reports all rush to the server that looks idle; by none, to what is preferred.
             costs = [self._cost(request, s) for s in preferred]
-            usual = sum(costs) / len(costs)
-            odds = [(cost / usual) ** -(1 + (KEEN - 1) * self._known(s)) for cost, s in zip(costs, preferred)]
+            usual = sorted(costs)[len(costs) // 2]
+            odds = [(cost / usual) ** -self._keen(s) for cost, s in zip(costs, preferred)]
             mean = sum(map(self._load, options)) / len(options)
             self._send(request, self.random.choices(preferred, odds)[0], mean)
         elif self.now - request.arrived_at < request.kind.aim // 3:
@@ -347,8 +347,8 @@
         others = self.others + (server.others - self.others) * math.exp((server.told_at - self.now) / STALE)
         return (1.0 + len(server.out) + others) / max(server.info.size, 0.1)
 
-    def _known(self, server: Known) -> float:
-        return math.exp((server.told_at - self.now) / TRUST)
+    def _keen(self, server: Known) -> float:  # power of a server's cost: full after a report, then 1
+        return 1.0 + (KEEN - 1) * math.exp((server.told_at - self.now) / TRUST)
 
     def _faded(self, server: Known) -> tuple[float, float]:  # errors, slowness
         # Danger: a server that looks bad gets nothing, so nothing corrects the look.
@@ -360,9 +360,10 @@
         # Danger: shunning a failing trial build would end the evidence on it, and shunning only the failing
         # machines of the earlier one would flatter p0. So a machine is held against others of its build.
         norm, (errors, slow) = self.norms[info.build], self._faded(server)
-        cost *= slow / norm[1] / (1.0 - min(max(errors - norm[0], 0.0), 0.9)) ** 2
+        keen = self._keen(server)  # what was seen of its health fades by itself, and always counts in full
+        cost *= math.pow(slow / norm[1] / (1.0 - min(max(errors - norm[0], 0.0), 0.9)) ** 2, KEEN / keen)
         trial = self.test if self.test and info.build == self.test.key[0] else None
-        cost *= 2.0 ** -(self.eager * self._known(server) * (1 + min(trial.lean, 1.0))) if trial else 1.0
+        cost *= 2.0 ** -(self.eager * (keen - 1) / (KEEN - 1) * (1 + min(trial.lean, 1.0))) if trial else 1.0
         cost /= 1.0 if trial and self._short() else self._capacity(server)
         if server.out and self.usual:  # Danger: a lost, stuck or slow server looks idle to its list.
             overdue = (self.now - min(server.out.values())) / self.usual / OVERDUE
@@ -463,8 +464,7 @@
         return max((b for b, _ in self.rows if b < build), default=-1)
 
     def _own_base(self, build: int) -> list[float]:
-        earlier = self._earlier(build)
-        return [sum(row[k] for (b, _), row in self.rows.items() if b == earlier) for k in (0, 1)]
+        return [sum(row[k] for (b, _), row in self.rows.items() if b == self._earlier(build)) for k in (0, 1)]
 
     def _p0(self, test: Test, name: str | None) -> float:
         # The earlier build's smoothed share of failures: of all agents, or of a class, leaning on that.
