--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -1,7 +1,6 @@
 """Every decision of frostfall. Its events, actions and settings are in frostfall/interface.py.
 
-Sans-I/O: `Brain.start` and `Brain.handle` take the clock and an event and return actions. An instance shares
-nothing with others, draws randomness from its seed alone and never iterates over a set.
+Sans-I/O: clock and event in, actions out. An instance shares nothing and draws randomness from its seed alone.
 """
 
 from __future__ import annotations
@@ -145,8 +144,8 @@
         if event.kind is not api.ListKind.REMEMBERED:  # which nobody was asked for
             self.ask_at = self.now + max(self.rules.ask_within, self.agents * APART)
         self.ask_backoff, listed = SHUN_FIRST, {info.id for info in event.servers}
-        whole = event.kind is not api.ListKind.CHANGES
-        self.servers = {name: s for name, s in self.servers.items() if name in listed or not whole}
+        if event.kind is not api.ListKind.CHANGES:
+            self.servers = {name: s for name, s in self.servers.items() if name in listed}
         for info in event.servers:
             old = self.servers.get(info.id)
             if info.availability is Availability.REMOVED:
@@ -214,8 +213,8 @@
         return same and self.now - earlier.sent_at < kind.key_ttl
 
     def _may_refuse(self, request: Request) -> bool:
-        harmless = (request.kind.effect, request.kind.key_group) == (Effect.KEYED, api.KeyGroup.ALL)
-        harmless = harmless or request.kind.effect is Effect.SAFE
+        effect, group = request.kind.effect, request.kind.key_group
+        harmless = effect is Effect.SAFE or (effect is Effect.KEYED and group is api.KeyGroup.ALL)
         return harmless or not any(attempt.may_have_run for attempt in request.attempts)
 
     def _on_trial(self, build: int) -> bool:
@@ -314,10 +313,11 @@
             preferred = [s for s in options if self._wanted(request, s)] or options
             preferred = [s for s in preferred if s in urgent] or preferred
             # Danger: by late reports all rush to the server that looks idle; by none, to what is preferred.
-            costs = [self._cost(request, s) for s in preferred]
+            informed = (sum(map(self._keen, preferred)) / len(preferred) - 1) / (KEEN - 1)
+            costs = [self._cost(request, s, informed) for s in preferred]
             usual = sorted(costs)[len(costs) // 2]
             odds = [(cost / usual) ** -self._keen(s) for cost, s in zip(costs, preferred)]
-            mean = sum(map(self._load, options)) / len(options)
+            mean = sum(map(self._load, some)) / len(some)
             self._send(request, self.random.choices(preferred, odds)[0], mean)
         elif self.now - request.arrived_at < request.kind.aim // 3:
             self.held[request.event.request] = request
@@ -355,7 +355,7 @@
         kept = math.exp((server.learned_at - self.now) / FORGET)
         return server.errors * kept, 1 + (server.slow - 1) * kept
 
-    def _cost(self, request: Request, server: Known) -> float:
+    def _cost(self, request: Request, server: Known, informed: float = 1.0) -> float:
         info, cost = server.info, self._load(server)
         # Danger: shunning a failing trial build would end the evidence on it, and shunning only the failing
         # machines of the earlier one would flatter p0. So a machine is held against others of its build.
@@ -363,7 +363,7 @@
         keen = self._keen(server)  # what was seen of its health fades by itself, and always counts in full
         cost *= math.pow(slow / norm[1] / (1.0 - min(max(errors - norm[0], 0.0), 0.9)) ** 2, KEEN / keen)
         trial = self.test if self.test and info.build == self.test.key[0] else None
-        cost *= 2.0 ** -(self.eager * (keen - 1) / (KEEN - 1) * (1 + min(trial.lean, 1.0))) if trial else 1.0
+        cost *= 2.0 ** -(self.eager * informed * (1 + min(trial.lean, 1.0))) if trial else 1.0
         cost /= 1.0 if trial and self._short() else self._capacity(server)
         if server.out and self.usual:  # Danger: a lost, stuck or slow server looks idle to its list.
             overdue = (self.now - min(server.out.values())) / self.usual / OVERDUE
