--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -1,6 +1,6 @@
 """Every decision of frostfall. Its events, actions and settings are in frostfall/interface.py.
 
-Sans-I/O: clock and event in, actions out. An instance shares nothing and draws randomness from its seed alone.
+Sans-I/O: clock and event in, actions out. An instance shares nothing and draws random numbers from its seed.
 """
 
 from __future__ import annotations
@@ -16,8 +16,7 @@
 from frostfall.linalg import divergence, evidence, mixing_rate
 from frostfall.state import Attempt, Ballot, Exchange, Known, Request, Test
 
-# Constants: time in microseconds.
-TICK, HOLD = 100_000, 50_000  # one exchange, longer than a message takes; how often a held request is tried
+TICK, HOLD = 100_000, 50_000  # in us: one exchange, over a message's way; how often a held request is tried
 ALPHA, BETA, MARGIN = 0.05, 0.05, 0.05  # the design's: chances of a wrong 'on', 'back' (shared out); p1 - p0
 LATE_AIMS, LATE_TIMES, LATE_MARGIN = 1.5, 2.5, 0.2  # late is over so many aims, or usual times; its p1 - p0
 LATE_MEMORY, LATE_LEAST, LATE_PART = 5e5, 15.0, 0.33  # answers of the same moment, against the trial's too
@@ -43,6 +42,7 @@
 SHUN_FIRST, SHUN_MOST = 300_000, 4_000_000  # how long an unreachable server is left alone, doubling
 PROBE_SHARE = 0.5  # probes per request taken, where load is told to probes alone: half a point as listed
 APART = 200_000  # of all agents' calls to discovery, which answers one caller after another
+SHED_UP, SHED_DOWN, SHED_MOST = 0.03, 0.01, 0.6  # part shed: up by each late answer, down by each timely one
 FILL, SPARE = 0.6, 0.3  # of the aim: how long answers may take; of what may be open: kept for the worthiest
 
 
@@ -81,6 +81,7 @@
         self.rate, self.rate_at = 0.0, 0  # requests served per second
         self.fleet, self.trials, self.eager = list[Known](), list[Known](), EAGER  # servers up; on trial
         self.norms = defaultdict[int, list[float]](lambda: [0.0, 1.0])  # by build: mean errors and slowness
+        self.shed, self.best = 0.0, max((kind.worth for kind in settings.classes), default=1.0)
         self.retry_tokens, self.probe_tokens, self.holding = RETRY_DEPTH, 0.0, False
         self.mean_time, self.mean_hint = dict[str, float](), dict[str, float]()  # by class
         self.usual, self.open, self.others = 0.0, 0, 0.0  # answer time; attempts out; load by others
@@ -227,8 +228,8 @@
             return True
         if news is None:  # not told yet what is on trial: only the lowest build cannot be
             return build == min(s.info.build for s in self.servers.values())
-        bound = rollout.one_way and news.phase in (Phase.TRIAL, Phase.RELEASED)
-        if bound and build < self.answered_by.get(request.event.key or "", 0):
+        if rollout.one_way and news.phase in (Phase.TRIAL, Phase.RELEASED) and (
+                build < self.answered_by.get(request.event.key or "", 0)):
             return False
         if not self._on_trial(build):
             return True
@@ -289,14 +290,15 @@
         mean = self.mean_hint.get(kind.name, float(event.hint or 0))
         self.mean_hint[kind.name] = mean + LEARN_MEAN * ((event.hint or mean) - mean)
         self._act(api.SetTimer(max(left - ANSWER_EARLY, 0), event.request))
-        self._place(request)
+        # Danger: an agent with little open cannot see by its count that all is overloaded; late answers tell.
+        shed = self.shed ** (2 * kind.worth / max(self.best, 1e-9)) if self.shed else 0.0
+        (self._give_up if self.random.random() < shed else self._place)(request)
 
     def _room(self, request: Request) -> bool:
         # Danger: when more is asked than can be served, all answers come late. So no more is kept open than
         # is served in a part of the aim (Little's law), and the least worthy class finds no room first.
-        best = max((kind.worth for kind in self.set.classes), default=1.0)
         fit = max(self._served() * FILL * request.kind.aim / 1e6 + 2, len(self.servers) / 2)
-        return self.open < fit * (1 - SPARE + SPARE * request.kind.worth / max(best, 1e-9))
+        return self.open < fit * (1 - SPARE + SPARE * request.kind.worth / max(self.best, 1e-9))
 
     def _place(self, request: Request) -> None:
         # Danger: hundreds of agents that connect to every server fill its table, and learn nothing of any by
@@ -420,6 +422,8 @@
             norm[0] += LEARN_NORM * (server.errors - norm[0])
         self.rate = self._served() + (event.outcome is Outcome.SUCCESS) * 1e6 / RATE_MEMORY
         if event.outcome in (Outcome.SUCCESS, Outcome.TIMED_OUT):
+            step = SHED_UP if event.elapsed > request.kind.aim else -SHED_DOWN
+            self.shed = min(max(self.shed + step, 0.0), SHED_MOST)
             times = event.elapsed / max(self._usual(request), 1.0)
             server.slow += LEARN_SLOW * (min(max(times, 0.3), 8.0) - server.slow)
             norm[1] += LEARN_NORM * (server.slow - norm[1])
@@ -453,8 +457,9 @@
             if news.phase in (Phase.GOING_BACK, Phase.WITHDRAWN):
                 self.test = None
             elif self.test is None or self.test.key != key:
-                old = self.test
-                base = old.base if old and old.key[0] == news.build else self._own_base(news.build)
+                old, was = self.test, self._earlier(news.build)
+                base = old.base if old and old.key[0] == news.build else [
+                    sum(row[k] for (b, _), row in self.rows.items() if b == was) for k in (0, 1)]
                 self.test = Test(key, self.now - news.age, base, [*[0.0] * 4, *base, *[0.0] * 6])
                 self._weigh()
         if news.reply in (VoteReply.OVERLOADED, VoteReply.ERROR, VoteReply.UNKNOWN) and self.ballot:
@@ -463,9 +468,6 @@
     def _earlier(self, build: int) -> int:
         return max((b for b, _ in self.rows if b < build), default=-1)
 
-    def _own_base(self, build: int) -> list[float]:
-        return [sum(row[k] for (b, _), row in self.rows.items() if b == self._earlier(build)) for k in (0, 1)]
-
     def _p0(self, test: Test, name: str | None) -> float:
         # The earlier build's smoothed share of failures: of all agents, or of a class, leaning on that.
         total, bad = (number * self._pool(test) for number in test.base)
@@ -483,8 +485,7 @@
         return self.agents if test.missed == 0 else min(2.0 ** test.met, self.agents)
 
     def _streams(self, test: Test, name: str | None = None) -> list[tuple[float, float] | None]:
-        # Failures, lateness and disputes, each with its p0 and p1 - p0, or None where it cannot be told.
-        # Danger: in one sum, a build that errs in one way is covered by how well it does in the others.
+        # Failures, lateness, disputes: p0 and p1 - p0, or None. Danger: in one sum, one would cover another.
         late, share = self._p0_late(test), self.rollout.flag_share if self.rollout else 0.0
         build = self._earlier(test.key[0])
         answers = sum(row[2] for (b, _), row in self.rows.items() if b == build)
@@ -504,15 +505,14 @@
         server = attempt.server
         # Danger: a server that has said nothing since is lost or cut off; that tells nothing of its build.
         test, build, failed, late = self.test, server.info.build, event.outcome is Outcome.ERROR, None
-        slow = event.outcome is Outcome.TIMED_OUT and server.heard_at > attempt.sent_at
+        settled = attempt.sent_at - server.info.started_at >= SETTLE  # a cold machine is slow
+        slow = event.outcome is Outcome.TIMED_OUT and server.heard_at > attempt.sent_at and settled
         if not slow and event.outcome not in (Outcome.SUCCESS, Outcome.ERROR):
             return
-        if attempt.sent_at - server.info.started_at >= SETTLE and not failed:  # a cold machine is slow
+        if settled and not failed:
             # Danger: machines of the trial build that are sent more than others are slower for that alone.
             limit = min(LATE_AIMS * request.kind.aim, LATE_TIMES * self._usual(request))
             late = event.elapsed > limit * attempt.crowding
-        if slow and late is None:
-            return
         row = self.rows.setdefault((build, request.kind.name), [0.0, 0.0, 0.0])
         row[:] = [row[0] * (1 - 1 / MEMORY) + 1, row[1] * (1 - 1 / MEMORY) + failed, row[2] + 1]
         if test is None or build > test.key[0] or request.judged:
@@ -611,8 +611,7 @@
         stands, held = last.verdict if last else Verdict.NONE, last is not None and self.now < last.renew_at
         if (verdict is stands and held) or (verdict is Verdict.NONE and stands is not Verdict.HOLD):
             return
-        # Danger: all agents see the same score, and the platform turns away what comes at once. They take
-        # turns at a part of its rate; most find the stage moved before theirs comes.
+        # Danger: all agents see the same score, and the platform turns away what comes at once: take turns.
         place = (self.set.agent + crc32(b"%d %d" % test.key)) % self.agents
         if self.now < test.decided_at + place * 1e6 / max(desk.votes_per_second * VOTES_USE, 1e-3):
             return
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -427,6 +427,31 @@
     assert not agent.brain._room(request[1])
 
 
+def test_late_answers_make_an_agent_shed_the_least_worthy_first_and_timely_ones_stop_it() -> None:
+    agent = Agent(SETTINGS, server(1), server(2))
+    for _ in range(30):
+        for send in sends(agent.ask()):
+            agent.end(send, elapsed=3 * S // 2)
+    shed = agent.brain.shed
+    assert shed > 0.3
+
+    def refused(kind: api.RequestClass) -> int:
+        agent.brain.shed, count = shed, 0
+        for _ in range(200):
+            actions = agent.ask(kind)
+            for send in sends(actions):
+                agent.end(send)
+                agent.brain.shed = shed
+            count += any(isinstance(action, api.Refuse) for action in actions)
+        return count
+
+    assert refused(SAFE) > 1.5 * refused(UNSAFE) > 0
+    for _ in range(300):
+        for send in sends(agent.ask()):
+            agent.end(send)
+    assert agent.brain.shed == 0
+
+
 def test_many_agents_do_not_all_pick_the_same_server() -> None:
     picked = {sends(Agent(SETTINGS, *(server(i) for i in range(8)), seed=seed).ask())[0].server
               for seed in range(30)}
