--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -154,11 +154,11 @@
             elif old and (old.info.started_at, old.info.build) == (info.started_at, info.build):
                 old.info = info
             else:
-                # Danger: agents together push a cold server over. The chance start lets the many that each
-                # earn only a part of a send add up to no more than their parts.
-                self.servers[info.id] = Known(info, credit=self.random.random(), credit_at=self.now)
-        self.fleet = sorted((s for s in self.servers.values() if s.info.availability is Availability.UP),
-                            key=lambda s: crc32(b"%d %d" % (self.set.agent, s.info.id)))
+                # Danger: agents together push a cold server over. By a chance start, parts of a send add up.
+                rank, credit = self.random.random(), self.random.random()
+                self.servers[info.id] = Known(info, rank, credit=credit, credit_at=self.now)
+        up = (s for s in self.servers.values() if s.info.availability is Availability.UP)
+        self.fleet = sorted(up, key=lambda s: s.rank)
         self._weigh()
 
     def _weigh(self) -> None:
@@ -302,7 +302,7 @@
 
     def _place(self, request: Request) -> None:
         # Danger: hundreds of agents that connect to every server fill its table, and learn nothing of any by
-        # a request now and then. So each keeps to as many as its traffic keeps connected, in hashed order.
+        # a request now and then. So each keeps to as many as its traffic keeps connected, in random order.
         worth = int(self._served() * self.limits.connection_idle / 1e6 / NEAR_USES)
         near = [s for s in self.fleet if s.shunned_until <= self.now][:max(NEAR, worth)]
         some = near if len(near) <= SAMPLE else self.random.sample(near, SAMPLE)
--- a/frostfall/state.py
+++ b/frostfall/state.py
@@ -80,6 +80,7 @@
     """A server as this agent sees it; a new start or build makes a new one."""
 
     info: api.Server
+    rank: float = 0.0  # its place in this agent's own order of servers
     out: dict[tuple[str, int], int] = field(default_factory=dict)  # attempts out, by send time
     others: float = 0.0  # what the other agents have there, by its reports
     told_at: int = 0  # when it last reported
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -4,12 +4,13 @@
 
 import math
 import random
+from collections.abc import Callable
 from dataclasses import replace
 
 import pytest
 
 from frostfall import interface as api
-from frostfall.brain import TICK, partner, round_length, threshold
+from frostfall.brain import NEAR, SAMPLE, TICK, Brain, partner, round_length, threshold
 from frostfall.linalg import divergence, mixing_rate
 from frostfall.state import Exchange
 from frostfall.state import Test as SequentialTest
@@ -504,3 +505,39 @@
             agent.tell(api.AnswerDisputed(9, "read", S))
         cast += votes(agent.pass_time(50_000))
     assert api.Verdict.BACK in {vote.verdict for vote in cast}
+
+
+@pytest.mark.parametrize("servers", [30, 600])
+def test_the_work_of_a_request_and_of_an_idle_second_does_not_grow_with_the_fleet(
+        servers: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    agent = Agent(replace(SETTINGS, agents=1000), *(server(i) for i in range(servers)))
+    looked: list[int] = []
+    for name in ("_cost", "_may_send"):
+        plain = getattr(Brain, name)
+
+        def counted(brain: Brain, *args: object, plain: Callable[..., object] = plain) -> object:
+            looked.append(1)
+            return plain(brain, *args)
+
+        monkeypatch.setattr(Brain, name, counted)
+    assert sends(agent.ask())
+    assert len(looked) <= 2 * SAMPLE + 1
+    looked.clear()
+    assert len(agent.pass_time(S)) <= 2 * S // TICK  # a timer and a message a turn
+    assert not looked
+
+
+def test_an_agent_keeps_to_few_servers_and_agents_spread_over_all() -> None:
+    used: set[int] = set()
+    for i in range(40):
+        agent = Agent(replace(SETTINGS, agent=i, agents=40), *(server(j) for j in range(60)))
+        own = set()
+        for _ in range(60):
+            agent.advance(S)
+            send, = sends(agent.ask())
+            agent.end(send)
+            own.add(send.server)
+        # Danger: hundreds of agents, each with a connection to every server, fill the servers' tables.
+        assert len(own) <= NEAR
+        used |= own
+    assert len(used) == 60
