--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -263,8 +263,8 @@
             return
         self._cancel(request)
         wait = min(self.limits.max_retry_after, request.kind.aim // 2) * self.limits.retry_after
-        kind = api.Refuse(request.event.request, wait) if self._may_refuse(request) else None
-        self._act(kind or api.Fail(request.event.request))
+        refusal = api.Refuse(request.event.request, wait) if self._may_refuse(request) else None
+        self._act(refusal or api.Fail(request.event.request))
         self._close(request)
 
     def _cancel(self, request: Request) -> None:
@@ -503,9 +503,9 @@
 
     def _judge(self, request: Request, attempt: Attempt, event: api.AttemptEnded) -> None:
         server = attempt.server
-        # Danger: a server that has said nothing since is lost or cut off; that tells nothing of its build.
         test, build, failed, late = self.test, server.info.build, event.outcome is Outcome.ERROR, None
         settled = attempt.sent_at - server.info.started_at >= SETTLE  # a cold machine is slow
+        # Danger: a server that has said nothing since is lost or cut off; that tells nothing of its build.
         slow = event.outcome is Outcome.TIMED_OUT and server.heard_at > attempt.sent_at and settled
         if not slow and event.outcome not in (Outcome.SUCCESS, Outcome.ERROR):
             return
@@ -523,8 +523,8 @@
         if trial:
             request.judged = True  # Danger: one failing request, retried, would count again and again.
             test.outcomes += 1
-            for k, bad in ((0, failed), (2, None if failed else False)):
-                stream = self._streams(test, request.kind.name)[k]
+            facts = (failed, None, None if failed else False)  # lateness is judged in the step
+            for k, (bad, stream) in enumerate(zip(facts, self._streams(test, request.kind.name))):
                 test.innovation[k] += evidence(bad, *stream) if bad is not None and stream else 0.0
 
     def _disputed(self, event: api.AnswerDisputed) -> None:
