--- /dev/null
+++ b/frostfall/__main__.py
@@ -0,0 +1,40 @@
+"""The program: `python -m frostfall`, one agent."""
+
+import os
+import signal
+import sys
+
+import anyio
+
+from frostfall import config, log
+from frostfall.net.agent import Agent
+
+
+async def serve(agent: Agent) -> None:
+    """Run the agent until it is told to stop."""
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with anyio.create_task_group() as group:
+
+            async def wait() -> None:
+                async for _ in signals:
+                    agent.stop()
+
+            group.start_soon(wait)
+            await agent.run()
+            group.cancel_scope.cancel()
+
+
+def main() -> int:
+    """Read the configuration and serve; a fault in it is one plain line."""
+    try:
+        told = config.load(os.environ)
+    except config.ConfigError as error:
+        sys.stderr.write(f"frostfall: {error}\n")
+        return 2
+    log.configure(told.log_level, told.name)
+    anyio.run(serve, Agent(told))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/frostfall/config.py
@@ -0,0 +1,177 @@
+"""The one place where configuration is read, checked and given defaults."""
+
+from __future__ import annotations
+
+import ipaddress
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from frostfall import interface as api
+from frostfall.protocol import news
+from frostfall.protocol.listing import Listing
+from frostfall.wirehost import codec
+
+LOG_LEVELS = ("debug", "info", "warning", "error")
+
+
+class ConfigError(Exception):
+    """The configuration cannot be used; the message names the faulty key."""
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """An IP address and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """As it stands in the configuration."""
+        return f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """What the machine allows."""
+
+    cores: float
+    memory_mb: int
+    sockets: int
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All that an agent is told."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    limits: Limits
+    peer_listen: Address | None
+    peers: tuple[Address, ...]
+    peers_all: Address | None
+    platform: Address | None
+    news: api.RolloutNews | None
+    known: Listing
+    settings: api.Settings
+    log_level: str
+
+
+class _Limits(msgspec.Struct):
+    cores: float = 1.0
+    memory_mb: int = 192
+    sockets: int = 1024
+
+
+class _Platform(msgspec.Struct):
+    address: str
+    news: dict[str, Any] | None = None
+
+
+class _File(msgspec.Struct):
+    settings: dict[str, Any]
+    name: str = ""
+    listen: str = ""
+    discovery: str = ""
+    seed: str | int = 0
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    peer_listen: str = ""
+    peers: list[str] = []
+    peers_all: str = ""
+    release_api: _Platform | None = None
+    known: Listing = msgspec.field(default_factory=lambda: Listing(0, True))
+
+
+def address(text: str, key: str) -> Address:
+    """Read `host:port`."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        number = int(port)
+    except ValueError:
+        raise ConfigError(f"{key}: {text!r} is no IP address and port") from None
+    if not 0 < number < 65536:
+        raise ConfigError(f"{key}: port {number} is out of range")
+    return Address(host.strip("[]"), number)
+
+
+def _seed(value: str | int) -> int:
+    try:
+        return int(value, 16) if isinstance(value, str) else value
+    except ValueError:
+        raise ConfigError(f"seed: {value!r} is no hexadecimal number") from None
+
+
+def _settings(conf: dict[str, Any]) -> api.Settings:
+    try:
+        settings = codec.settings(conf)
+    except codec.WireError as error:
+        raise ConfigError(str(error)) from None
+    if not 0 <= settings.agent < settings.agents:
+        raise ConfigError(f"settings.ordinal: {settings.agent} is not below nInstances, {settings.agents}")
+    if not settings.classes:
+        raise ConfigError("settings.grades: there are none")
+    for kind in settings.classes:
+        if not 0 < kind.aim <= kind.deadline:
+            raise ConfigError(f"settings.grades: aimUs or deadlineUs of {kind.name!r} is out of range")
+    if settings.limits.max_attempts < 1:
+        raise ConfigError("settings.bounds.maxAttempts: at least 1 is needed")
+    for key, value in (("connectTimeoutUs", settings.limits.connect_timeout),
+                       ("connIdleUs", settings.limits.connection_idle)):
+        if value <= 0:
+            raise ConfigError(f"settings.bounds.{key}: {value} is out of range")
+    return settings
+
+
+def parse(text: bytes, environment: Mapping[str, str]) -> Config:
+    """Check a configuration and fill in defaults; the environment stands in for what it leaves out."""
+    try:
+        raw = msgspec.json.decode(text, type=_File)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise ConfigError(f"configuration: {error}") from None
+    settings = _settings(raw.settings)
+    for key, number in (("cores", raw.limits.cores), ("memory_mb", raw.limits.memory_mb)):
+        if number <= 0:
+            raise ConfigError(f"limits.{key}: {number} is out of range")
+    if raw.limits.sockets < 64:
+        raise ConfigError(f"limits.sockets: {raw.limits.sockets} is too few, 64 are needed")
+    peers = tuple(address(text, f"peers[{place}]") for place, text in enumerate(raw.peers))
+    if peers and len(peers) != settings.agents:
+        raise ConfigError(f"peers: {len(peers)} addresses for settings.nInstances {settings.agents}")
+    told: api.RolloutNews | None = None
+    if raw.release_api and raw.release_api.news is not None:
+        state = news.read(raw.release_api.news, api.VoteReply.NONE)
+        if isinstance(state, str):
+            raise ConfigError(f"release_api.news: {state}")
+        told = state
+    level = environment.get("FROSTFALL_LOG", "info")
+    if level not in LOG_LEVELS:
+        raise ConfigError(f"FROSTFALL_LOG: {level!r} is none of {', '.join(LOG_LEVELS)}")
+    return Config(
+        name=raw.name or environment.get("BALANCER_NAME", "agent"),
+        listen=address(raw.listen or environment.get("BALANCER_LISTEN", ""), "listen"),
+        discovery=address(raw.discovery or environment.get("BALANCER_DISCOVERY", ""), "discovery"),
+        seed=_seed(raw.seed),
+        limits=Limits(raw.limits.cores, raw.limits.memory_mb, raw.limits.sockets),
+        peer_listen=address(raw.peer_listen, "peer_listen") if raw.peer_listen else None,
+        peers=peers,
+        peers_all=address(raw.peers_all, "peers_all") if raw.peers_all else None,
+        platform=address(raw.release_api.address, "release_api.address") if raw.release_api else None,
+        news=told, known=raw.known, settings=settings, log_level=level)
+
+
+def load(environment: Mapping[str, str]) -> Config:
+    """The configuration that the environment points at."""
+    path = environment.get("BALANCER_CONFIG")
+    if not path:
+        raise ConfigError("BALANCER_CONFIG: not set; it names the configuration's file")
+    try:
+        text = Path(path).read_bytes()
+    except OSError as error:
+        raise ConfigError(f"BALANCER_CONFIG: cannot read {path}: {error.strerror}") from None
+    return parse(text, environment)
--- /dev/null
+++ b/frostfall/log.py
@@ -0,0 +1,31 @@
+"""Logging: JSON lines on standard error."""
+
+from __future__ import annotations
+
+import sys
+from typing import Any
+
+import structlog
+
+_LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
+
+
+def configure(level: str, name: str) -> None:
+    """Log from this level on; every line names the agent."""
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(_LEVELS[level]),
+        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        cache_logger_on_first_use=True)
+    structlog.contextvars.bind_contextvars(agent=name)
+
+
+def get(part: str) -> Any:
+    """The log of one part of the program."""
+    return structlog.get_logger(part=part)
--- /dev/null
+++ b/frostfall/net/__init__.py
@@ -0,0 +1,1 @@
+"""The agent on sockets: thin anyio drivers around the protocol machines and one decision module."""
--- /dev/null
+++ b/frostfall/net/agent.py
@@ -0,0 +1,280 @@
+"""The agent: one decision module, its clock and its timers, and the drivers around them."""
+
+from __future__ import annotations
+
+import gc
+import os
+import resource
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+from anyio.abc import SocketListener, TaskGroup
+
+from frostfall import interface as api
+from frostfall import log
+from frostfall.brain import Brain
+from frostfall.config import Address, Config
+from frostfall.net.appliances import Appliances, Attempt
+from frostfall.net.clients import Client, Clients
+from frostfall.net.clock import Clock, Timers
+from frostfall.net.discovery import Discovery
+from frostfall.net.peers import Peers
+from frostfall.net.platform import Platform
+from frostfall.protocol import entries, statement
+from frostfall.protocol.ending import Ending
+from frostfall.protocol.listing import Listing
+from frostfall.protocol.pg import READY
+from frostfall.protocol.pg_client import Row
+from frostfall.protocol.pg_server import failed, refused
+
+SPARE_SOCKETS = 24  # descriptors for all that is neither client nor appliance: logs, peers, listeners
+LINGER = 0.7  # seconds after the order to stop in which new connections may still come, by the protocol
+HEALTH_EVERY = 5.0  # seconds between log lines on the agent's own health
+
+_log = log.get("agent")
+
+
+@dataclass(slots=True)
+class _Request:
+    """A request taken, until it is answered and all its attempts have ended."""
+
+    statement: statement.Statement
+    client: Client
+    deadline: int
+    attempts: list[Attempt] = field(default_factory=list)
+    out: int = 0
+    done: bool = False
+
+
+class Agent:
+    """Embeddable: `run` serves until `stop` has been called and all that was taken is answered."""
+
+    def __init__(self, config: Config, clock: Clock | None = None) -> None:
+        """Prepare an agent; nothing is opened before `run`."""
+        self._config = config
+        self.clock = clock or Clock()
+        self.brain = Brain(config.settings, config.seed)
+        self._timers = Timers(self.clock)
+        self._events: deque[api.Event] = deque()
+        self._handling = False
+        self._requests: dict[str, _Request] = {}
+        self._classes = {kind.name for kind in config.settings.classes}
+        self._addresses: dict[int, Address] = {}
+        self._group: TaskGroup | None = None
+        half = (config.limits.sockets - SPARE_SOCKETS) // 2
+        self._clients = Clients(self, half)
+        self._appliances = Appliances(self.clock, config.settings.limits, half)
+        self._discovery = Discovery(config.discovery, config.known.generation,
+                                    config.settings.rules.ask_within, self._listed, self._list_failed)
+        rollout = config.settings.rollout
+        self._platform = Platform(config.platform, rollout.vote_timeout, config.seed,
+                                  self.post) if config.platform and rollout else None
+        self._peers = Peers(config.peer_listen, config.peers, config.peers_all,
+                            self._heard) if config.peer_listen and config.settings.limits.peers else None
+        self._stopping = anyio.Event()
+
+    # ---- events in, actions out --------------------------------------------------------------------
+
+    def post(self, event: api.Event) -> None:
+        """Hand an event over; those that come up meanwhile follow one at a time."""
+        self._events.append(event)
+        if self._handling:
+            return
+        self._handling = True
+        try:
+            while self._events:
+                self._handle(self._events.popleft())
+        finally:
+            self._handling = False
+
+    def _handle(self, event: api.Event) -> None:
+        try:
+            actions = self.brain.handle(self.clock.now(), event)
+        except Exception:
+            # Danger: a fault must not leave a request without its answer, nor end the agent.
+            _log.exception("decision failed", event_type=type(event).__name__)
+            name = getattr(event, "request", None)
+            if isinstance(name, str) and name in self._requests:
+                self._finish(name, failed())
+            return
+        for action in actions:
+            try:
+                self._carry_out(action)
+            except Exception:
+                _log.exception("action failed", action=type(action).__name__)
+
+    def _carry_out(self, action: api.Action) -> None:
+        match action:
+            case api.SendAttempt():
+                self._send(action)
+            case api.CancelAttempt(request, attempt):
+                if (known := self._requests.get(request)) and attempt < len(known.attempts):
+                    known.attempts[attempt].give_up()
+            case api.Refuse(request, retry_after):
+                self._finish(request, refused(retry_after // 1000))
+            case api.Fail(request):
+                self._finish(request, failed())
+            case api.SetTimer(delay, token):
+                self._timers.set(delay, token)
+            case api.TellPeer(peer, text):
+                if self._peers:
+                    self._peers.tell(peer, text)
+            case api.Subscribe():
+                self._discovery.ask()
+            case api.CastVote():
+                if self._platform:
+                    self._platform.cast(action)
+            case api.Log(text):
+                _log.info(text)
+            case api.ProbeServer(server):
+                # The protocol has no probes, so that one never goes out.
+                self.post(api.ProbeEnded(server, api.Outcome.NEVER_SENT, 0))
+
+    # ---- requests ----------------------------------------------------------------------------------
+
+    def take(self, client: Client, text: bytes) -> str | None:
+        """Take a client's query, or say why it is malformed."""
+        now = self.clock.now()
+        parsed = statement.parse(text)
+        if isinstance(parsed, str):
+            return parsed
+        if parsed.class_name not in self._classes:
+            return "an unknown class"
+        if parsed.request in self._requests:
+            return "an id that is in use"
+        deadline = now + parsed.wait_ms * 1000
+        client.request = parsed.request
+        self._requests[parsed.request] = _Request(parsed, client, deadline)
+        self.post(api.RequestArrived(parsed.request, parsed.class_name, deadline, parsed.key, parsed.hint,
+                                     None, parsed.is_retry))
+        return None
+
+    def left(self, client: Client) -> None:
+        """A client's connection has ended; where it waited for an answer, none is owed any more."""
+        if (name := client.request) is not None and (request := self._requests.get(name)):
+            client.request = None
+            request.done = True
+            self.post(api.ClientLeft(name))
+            self._forget(name)
+
+    def _finish(self, name: str, answer: bytes) -> None:
+        request = self._requests.get(name)
+        if request is None or request.done:
+            return
+        request.done = True
+        self._forget(name)
+        request.client.answer(answer)
+
+    def _forget(self, name: str) -> None:
+        if (request := self._requests.get(name)) and request.done and not request.out:
+            del self._requests[name]
+
+    def _send(self, action: api.SendAttempt) -> None:
+        request = self._requests.get(action.request)
+        now = self.clock.now()
+        if request is None or request.done or self._group is None:
+            _log.error("attempt for a request that has ended", request=action.request)
+            return
+        attempt, number, began = Attempt(), len(request.attempts), now
+        deadline = min(now + action.timeout, request.deadline) if action.timeout else request.deadline
+        request.attempts.append(attempt)
+        address = self._addresses.get(action.server)
+        if address is None:
+            never = api.Outcome.NEVER_SENT
+            self.post(api.AttemptEnded(action.request, number, action.server, never, 0, False))
+            return
+        request.out += 1
+
+        def write() -> bytes:
+            return request.statement.waiting((deadline - self.clock.now()) // 1000)
+
+        def done(ending: Ending) -> None:
+            self._ended(request, action, number, began, ending)
+
+        self._group.start_soon(self._appliances.attempt, attempt, address, write, deadline, done)
+
+    def _ended(self, request: _Request, action: api.SendAttempt, number: int, began: int,
+               ending: Ending) -> None:
+        request.out -= 1
+        name, outcome = action.request, ending.outcome
+        if outcome is not api.Outcome.SUCCESS:
+            _log.debug("attempt ended", request=name, server=action.server, outcome=outcome.name,
+                       progress=ending.progress.name, why=ending.why)
+        if isinstance(ending.answer, Row) and not request.done:
+            self._finish(name, ending.answer.data + READY)
+        elapsed = self.clock.now() - began
+        self.post(api.AttemptEnded(name, number, action.server, outcome, elapsed, request.done,
+                                   entries.load(ending.load)))
+        self._forget(name)
+
+    # ---- what the other drivers tell ---------------------------------------------------------------
+
+    def _listed(self, listing: Listing) -> None:
+        kind = api.ListKind.COMPLETE if listing.reset else api.ListKind.CHANGES
+        self._keep(listing)
+        self.post(entries.listed(listing, kind))
+
+    def _keep(self, listing: Listing) -> None:
+        if listing.reset:
+            self._addresses.clear()
+        for entry in listing.instances:
+            host, _, port = entry.host_port.rpartition(":")
+            if port.isdigit():
+                self._addresses[entries.server_id(entry.instance_id)] = Address(host, int(port))
+
+    def _list_failed(self) -> None:
+        self.post(api.ServersListed(api.ListKind.FAILED, ()))
+
+    def _heard(self, sender: int, text: str) -> None:
+        self.post(api.PeerMessage(sender, text))
+
+    # ---- life --------------------------------------------------------------------------------------
+
+    def stop(self) -> None:
+        """Answer what has been taken, then let `run` return."""
+        self._stopping.set()
+
+    async def run(self, ready: Callable[[SocketListener], None] | None = None) -> None:
+        """Serve until stopped."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            for action in self.brain.start(self.clock.now()):
+                self._carry_out(action)
+            self._keep(self._config.known)
+            self.post(entries.listed(self._config.known, api.ListKind.REMEMBERED))
+            if self._config.news:
+                self.post(self._config.news)
+            for driver in (self._platform, self._peers, self._discovery):
+                if driver:
+                    group.start_soon(driver.run)
+            group.start_soon(self._timers.run, lambda token: self.post(api.TimerFired(token)))
+            group.start_soon(self._appliances.sweep)
+            group.start_soon(self._health)
+            group.start_soon(self._stop)
+            gc.collect()
+            gc.freeze()  # what the start left stays for good, so that collections need not go through it
+            await self._clients.run(self._config.listen, ready or self._ready)
+            group.cancel_scope.cancel()
+        await self._appliances.close()
+        _log.info("stopped")
+
+    def _ready(self, listener: SocketListener) -> None:
+        _log.info("listening", address=str(self._config.listen))
+
+    async def _stop(self) -> None:
+        await self._stopping.wait()
+        _log.info("stopping", clients=len(self._clients), requests=len(self._requests))
+        self._clients.drain()
+        await anyio.sleep(LINGER)
+        self._clients.stop()
+
+    async def _health(self) -> None:
+        while True:
+            await anyio.sleep(HEALTH_EVERY)
+            late, self._timers.latest = self._timers.latest, 0
+            _log.info("health", late_ms_most=round(late / 1000, 1), timers=len(self._timers),
+                      memory_mb_most=resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024,
+                      descriptors=len(os.listdir("/proc/self/fd")), clients=len(self._clients),
+                      connections=len(self._appliances), requests=len(self._requests))
--- /dev/null
+++ b/frostfall/net/appliances.py
@@ -0,0 +1,219 @@
+"""Appliances: pooled connections, and the attempts that go over them."""
+
+from __future__ import annotations
+
+import select
+from collections import defaultdict
+from collections.abc import Callable
+
+import anyio
+from anyio.abc import ByteStream, SocketAttribute
+
+from frostfall import log
+from frostfall.config import Address
+from frostfall.interface import Limits
+from frostfall.net.clock import Clock
+from frostfall.protocol.ending import Ending, Progress
+from frostfall.protocol.pg_client import ClientSide, Refusal, State
+
+USER, DATABASE = "web", "orders"  # appliances welcome any user
+READ_MOST = 64 * 1024  # bytes: what one read takes at most
+IDLE_PART = 0.75  # of the settings' time: the appliance closes at that time at the latest, often earlier
+SWEEP = 1.0  # seconds: how often idle connections are looked through; well below any idle time
+
+_log = log.get("appliances")
+
+
+class Connection:
+    """One connection to an appliance."""
+
+    def __init__(self, address: Address, stream: ByteStream) -> None:
+        """Speak over this stream."""
+        self.address = address
+        self.stream = stream
+        self.machine = ClientSide(USER, DATABASE)
+        self.idle_since = 0
+        self._poll = select.poll()
+        self._poll.register(stream.extra(SocketAttribute.raw_socket).fileno(),
+                            select.POLLIN | select.POLLRDHUP)
+
+    @property
+    def usable(self) -> bool:
+        """Whether nothing has come on it since its last answer, not even its end."""
+        return self.machine.reusable and not self._poll.poll(0)
+
+    async def close(self) -> None:
+        """Close it now, whatever happens to the caller."""
+        with anyio.CancelScope(shield=True):
+            await self.stream.aclose()
+
+
+class Attempt:
+    """One attempt under way; `give_up` ends it at once."""
+
+    def __init__(self) -> None:
+        """Not begun."""
+        self.progress = Progress.NO_CONNECTION
+        self.given_up = False
+        self.scope = anyio.CancelScope()
+
+    def give_up(self) -> None:
+        """Stop waiting; the connection closes."""
+        self.given_up = True
+        self.scope.cancel()
+
+
+class Appliances:
+    """The pool: by address, the connections that wait for a request."""
+
+    def __init__(self, clock: Clock, limits: Limits, most: int) -> None:
+        """Hold at most so many connections."""
+        self._clock = clock
+        self._connect_timeout = limits.connect_timeout / 1e6
+        self._idle_most = int(limits.connection_idle * IDLE_PART)
+        self._most = most
+        self._count = 0
+        self._idle: defaultdict[Address, list[Connection]] = defaultdict(list)
+
+    def __len__(self) -> int:
+        """How many connections are open or being opened."""
+        return self._count
+
+    async def attempt(self, attempt: Attempt, address: Address, statement: Callable[[], bytes],
+                      deadline: int, done: Callable[[Ending], None]) -> None:
+        """Carry one attempt through and tell its end, exactly once; the connection goes back to the pool."""
+        connection: Connection | None = None
+        ending = Ending(Progress.NO_CONNECTION, why="failed")
+        try:
+            with attempt.scope:
+                attempt.scope.deadline = anyio.current_time() + (deadline - self._clock.now()) / 1e6
+                connection = await self._take(address)
+                if connection is None:
+                    opened = await self._open(address)
+                    if isinstance(opened, Ending):
+                        ending = opened
+                        return
+                    connection = opened
+                ending = await self._exchange(connection, attempt, statement)
+                return
+            # Only a scope that ended the wait comes here: the time is over, or the attempt was given up.
+            ending = Ending(attempt.progress, timed_out=not attempt.given_up, cancelled=attempt.given_up)
+        except Exception as error:
+            _log.exception("attempt failed")
+            ending = Ending(max(attempt.progress, Progress.WRITTEN), why=repr(error))
+        finally:
+            # Danger: the end is told when the connection is closed, or a second copy could be out beside it.
+            if connection is not None and (
+                    connection.machine.answer is None or connection.machine.state is State.BROKEN):
+                await self._drop(connection)
+                connection = None
+            done(ending)
+            if connection is not None:
+                await self._settle(connection)
+
+    async def _exchange(self, connection: Connection, attempt: Attempt,
+                        statement: Callable[[], bytes]) -> Ending:
+        machine, stream = connection.machine, connection.stream
+        try:
+            attempt.progress = Progress.NOT_WRITTEN
+            data = machine.ask(statement())
+            # Danger: given up inside this write, it is not known how much has gone out: it may have run.
+            attempt.progress = Progress.WRITTEN
+            try:
+                await stream.send(data)
+            except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+                return Ending(Progress.NOT_WRITTEN, why=repr(error))
+            while machine.answer is None:
+                machine.feed(await stream.receive(READ_MOST))
+                attempt.progress = Progress.ANSWERING
+        except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+            return Ending(attempt.progress, why=repr(error))
+        return Ending(attempt.progress, machine.answer)
+
+    async def _take(self, address: Address) -> Connection | None:
+        """The connection that was used last, if it still stands."""
+        while waiting := self._idle.get(address):
+            connection = waiting.pop()
+            if connection.usable and self._clock.now() - connection.idle_since < self._idle_most:
+                return connection
+            await self._drop(connection)
+        return None
+
+    async def _open(self, address: Address) -> Connection | Ending:
+        if self._count >= self._most and not await self._evict():
+            return Ending(Progress.NO_CONNECTION, why="no connection is free")
+        self._count += 1
+        connection: Connection | None = None
+        answer = None
+        why = "no connection in time"
+        try:
+            with anyio.move_on_after(self._connect_timeout):
+                connection = Connection(
+                    address, await anyio.connect_tcp(address.host, address.port))
+                machine = connection.machine
+                await connection.stream.send(machine.opening)
+                while machine.state is State.STARTING:
+                    machine.feed(await connection.stream.receive(READ_MOST))
+                if machine.state is State.READY:
+                    return connection
+                answer, why = machine.answer, "turned away"
+        except (OSError, anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+            why = repr(error)
+        finally:
+            if connection is None or connection.machine.state is not State.READY:
+                self._count -= 1
+                if connection is not None:
+                    await connection.close()
+        refusal = answer if isinstance(answer, Refusal) else None
+        return Ending(Progress.NO_CONNECTION, refusal, why=why)
+
+    async def _settle(self, connection: Connection) -> None:
+        """Wait for the end of an answer, then keep the connection for the next request."""
+        machine = connection.machine
+        try:
+            with anyio.move_on_after(self._connect_timeout):
+                while machine.state is State.ANSWERED:
+                    machine.feed(await connection.stream.receive(READ_MOST))
+        except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            pass
+        finally:
+            if machine.reusable:
+                connection.idle_since = self._clock.now()
+                self._idle[connection.address].append(connection)
+            else:
+                await self._drop(connection)
+
+    async def _drop(self, connection: Connection) -> None:
+        self._count -= 1
+        await connection.close()
+
+    async def _evict(self) -> bool:
+        """Close the connection that has been idle for longest; False where none is."""
+        oldest = min((each[0] for each in self._idle.values() if each),
+                     key=lambda each: each.idle_since, default=None)
+        if oldest is None:
+            return False
+        self._idle[oldest.address].remove(oldest)
+        await self._drop(oldest)
+        return True
+
+    async def sweep(self) -> None:
+        """Close connections that have been idle for long, or that the appliance has closed."""
+        while True:
+            await anyio.sleep(SWEEP)
+            before = self._clock.now() - self._idle_most
+            for address in list(self._idle):
+                stale = [each for each in self._idle[address]
+                         if each.idle_since <= before or not each.usable]
+                self._idle[address] = [each for each in self._idle[address] if each not in stale]
+                if not self._idle[address]:
+                    del self._idle[address]
+                for each in stale:
+                    await self._drop(each)
+
+    async def close(self) -> None:
+        """Close what waits for a request."""
+        for waiting in self._idle.values():
+            for each in waiting:
+                await self._drop(each)
+        self._idle.clear()
--- /dev/null
+++ b/frostfall/net/clients.py
@@ -0,0 +1,208 @@
+"""Clients: the listener and its connections."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+import anyio
+from anyio.abc import ByteStream, SocketListener, TaskGroup
+
+from frostfall import log
+from frostfall.config import Address
+from frostfall.protocol import pg
+from frostfall.protocol.pg_server import Closed, Query, Reply, ServerSide
+
+BACKLOG = 512  # connections: a burst that comes while the one core is busy elsewhere
+PAUSE = 0.05  # seconds: how long accepting rests after an error, such as too few descriptors
+READ_MOST = 64 * 1024  # bytes: what one read takes at most
+
+_log = log.get("clients")
+
+
+class Front(Protocol):
+    """What a connection needs of the agent."""
+
+    def take(self, client: Client, text: bytes) -> str | None:
+        """Take a query, or say why it is malformed."""
+
+    def left(self, client: Client) -> None:
+        """The client has gone."""
+
+
+class Client:
+    """One client's connection."""
+
+    def __init__(self, stream: ByteStream, front: Front) -> None:
+        """Serve this stream."""
+        self._stream = stream
+        self._front = front
+        self._machine = ServerSide()
+        self._out = bytearray()
+        self._wake = anyio.Event()
+        self._idle = anyio.Event()
+        self._advancing = False
+        self._last = False  # whether the connection ends once what is to be said is said
+        self.request: str | None = None  # the request that waits for its answer
+        self.draining = False
+
+    async def run(self) -> None:
+        """Serve until either side ends it."""
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._write, group)
+                await self._read()
+                if not self._last:  # the client has gone, so nobody is left to write to
+                    group.cancel_scope.cancel()
+        finally:
+            self._front.left(self)
+            with anyio.CancelScope(shield=True):
+                await self._stream.aclose()
+
+    def answer(self, data: bytes) -> None:
+        """Give the final answer to the query that waits; the next one is then read."""
+        self.request = None
+        self._machine.answered()
+        self._say(data, last=self.draining and not self._machine.buffered)
+        self._idle.set()
+        if not self._last:
+            self._advance()
+
+    def drain(self) -> None:
+        """End once the answer is given, or at once where none is owed."""
+        self.draining = True
+        if not self._machine.busy and not self._machine.buffered:
+            self._say(b"", last=True)
+
+    def _say(self, data: bytes, last: bool = False) -> None:
+        self._out += data
+        self._last = self._last or last
+        self._wake.set()
+
+    def _advance(self) -> None:
+        if self._advancing:  # the agent may answer a query at once, from inside this loop
+            return
+        self._advancing = True
+        try:
+            self._events()
+        finally:
+            self._advancing = False
+
+    def _events(self) -> None:
+        while (event := self._machine.next_event()) is not None:
+            match event:
+                case Reply(data):
+                    self._say(data)
+                case Query(text):
+                    if fault := self._front.take(self, text):
+                        event = self._machine.refuse(pg.Malformed.TEXT, fault)
+                        _log.info("malformed query", why=fault)
+                        self._say(event.data, last=True)
+                case Closed(data, why):
+                    if why:
+                        _log.info("malformed input", why=why.value)
+                    self._say(data, last=True)
+
+    async def _read(self) -> None:
+        while not self._last:
+            if self._machine.busy and self._machine.buffered > READ_MOST:
+                self._idle = anyio.Event()  # a client that sends ahead waits for its answers
+                await self._idle.wait()
+                continue
+            try:
+                data = await self._stream.receive(READ_MOST)
+            except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
+                return
+            self._machine.feed(data)
+            self._advance()
+
+    async def _write(self, group: TaskGroup) -> None:
+        try:
+            while True:
+                if self._out:
+                    data = bytes(self._out)
+                    self._out.clear()
+                    await self._stream.send(data)
+                elif self._last:
+                    break
+                else:
+                    self._wake = anyio.Event()
+                    await self._wake.wait()
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            pass
+        group.cancel_scope.cancel()
+
+
+class Clients:
+    """The listener: takes connections in up to a bound and knows those that are open."""
+
+    def __init__(self, front: Front, most: int) -> None:
+        """Hold at most so many connections."""
+        self._front = front
+        self._most = most
+        self._open: set[Client] = set()
+        self._room = anyio.Event()
+        self._draining = False
+        self._accepting: anyio.CancelScope | None = None
+
+    def __len__(self) -> int:
+        """How many connections are open."""
+        return len(self._open)
+
+    async def run(self, listen: Address, ready: Callable[[SocketListener], None]) -> None:
+        """Listen, and serve each connection in a task of its own."""
+        multi = await anyio.create_tcp_listener(
+            local_host=listen.host, local_port=listen.port, backlog=BACKLOG)
+        listener = multi.listeners[0]
+        if not isinstance(listener, SocketListener):
+            raise TypeError("no listener for sockets")
+        ready(listener)
+        async with anyio.create_task_group() as group:
+            with anyio.CancelScope() as self._accepting:
+                async with listener:
+                    await self._accept(listener, group)
+
+    async def _accept(self, listener: SocketListener, group: TaskGroup) -> None:
+        while True:
+            if len(self._open) >= self._most:
+                await self._make_room()
+                continue
+            try:
+                stream = await listener.accept()
+            except OSError as error:
+                _log.warning("cannot accept", why=str(error))
+                await anyio.sleep(PAUSE)
+                continue
+            client = Client(stream, self._front)
+            client.draining = self._draining
+            self._open.add(client)
+            group.start_soon(self._serve, client)
+
+    async def _serve(self, client: Client) -> None:
+        try:
+            await client.run()
+        except Exception:
+            _log.exception("connection failed")
+        finally:
+            self._open.discard(client)
+            self._room.set()
+
+    async def _make_room(self) -> None:
+        # Between requests a connection may be closed; those that wait for an answer stay.
+        self._room = anyio.Event()
+        for client in self._open:
+            if client.request is None:
+                client.drain()
+        await self._room.wait()
+
+    def drain(self) -> None:
+        """From now on connections end with their answer, and those that wait for none end at once."""
+        self._draining = True
+        for client in self._open:
+            client.drain()
+
+    def stop(self) -> None:
+        """Take in no more connections; `run` returns once the open ones have ended."""
+        if self._accepting:
+            self._accepting.cancel()
+        self.drain()
--- /dev/null
+++ b/frostfall/net/platform.py
@@ -0,0 +1,154 @@
+"""The platform: one connection that listens for news and carries votes."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+from anyio.abc import ByteStream, TaskGroup
+
+from frostfall import log
+from frostfall.config import Address
+from frostfall.interface import CastVote, RolloutNews, VoteReply
+from frostfall.protocol import news, rpc
+
+CONNECT_TIMEOUT = 1.0  # seconds: a machine that is cut off never accepts
+SILENCE = 3.5  # seconds: a sign of life comes every second
+BACK_OFF, BACK_OFF_MOST = 0.1, 2.0  # seconds between connections that fail, doubling, with jitter
+READ_MOST = 64 * 1024  # bytes: what one read takes at most
+VOTES_MOST = 16  # votes that may wait for an answer; the platform takes a few a second of an agent
+
+_log = log.get("platform")
+
+
+@dataclass(slots=True)
+class _Vote:
+    action: CastVote
+    done: anyio.Event = field(default_factory=anyio.Event)
+    answer: rpc.Result | rpc.Failure | None = None
+    broken: bool = False
+
+
+class Platform:
+    """Keeps one listening connection up; its news and the answers to votes are told as they come."""
+
+    def __init__(self, address: Address, vote_timeout: int, seed: int,
+                 told: Callable[[RolloutNews], None]) -> None:
+        """Talk to the platform at this address."""
+        self._address = address
+        self._vote_timeout = vote_timeout / 1e6
+        self._told = told
+        self._random = random.Random(seed)
+        self._stream: ByteStream | None = None
+        self._sending = anyio.Lock()
+        self._number = 0
+        self._out: dict[int, _Vote] = {}
+        self._group: TaskGroup | None = None
+
+    def cast(self, action: CastVote) -> None:
+        """Send a vote; its reply is told later."""
+        if self._group is None or len(self._out) >= VOTES_MOST:
+            self._told(news.without_state(action, VoteReply.ERROR))
+        else:
+            self._group.start_soon(self._vote, action)
+
+    async def run(self) -> None:
+        """Connect, listen, and again."""
+        async with anyio.create_task_group() as self._group:
+            wait = BACK_OFF
+            while True:
+                began = anyio.current_time()
+                why = "failed"
+                try:
+                    why = await self._listen()
+                except Exception:
+                    _log.exception("connection failed")
+                _log.info("connection ended", why=why)
+                wait = BACK_OFF if anyio.current_time() - began > SILENCE else min(wait * 2, BACK_OFF_MOST)
+                await anyio.sleep(wait * self._random.uniform(0.5, 1.0))
+
+    async def _listen(self) -> str:
+        stream: ByteStream | None = None
+        try:
+            with anyio.move_on_after(CONNECT_TIMEOUT):
+                stream = await anyio.connect_tcp(self._address.host, self._address.port)
+            if stream is None:
+                return "no connection in time"
+            lines = rpc.Lines()
+            await stream.send(rpc.call(self._next(), news.LISTEN))
+            self._stream = stream
+            while True:
+                data = b""
+                with anyio.move_on_after(SILENCE):
+                    data = await stream.receive(READ_MOST)
+                if not data:
+                    return "silence"
+                lines.feed(data)
+                while (message := lines.next_message()) is not None:
+                    if isinstance(message, rpc.Unreadable):
+                        return f"unreadable: {message.why}"
+                    self._hear(message)
+        except (OSError, anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+            return repr(error)
+        finally:
+            self._stream = None
+            if stream is not None:
+                with anyio.CancelScope(shield=True):
+                    await stream.aclose()
+            for vote in self._out.values():
+                vote.broken = True
+                vote.done.set()
+
+    def _next(self) -> int:
+        self._number += 1
+        return self._number
+
+    def _hear(self, message: rpc.Result | rpc.Failure | rpc.Notification) -> None:
+        if not isinstance(message, rpc.Notification):
+            if vote := self._out.get(message.id):
+                vote.answer = message
+                vote.done.set()
+        elif message.method == news.NEWS:
+            self._tell(message.params, VoteReply.NONE)
+
+    def _tell(self, value: Any, reply: VoteReply) -> bool:
+        state = news.read(value, reply)
+        if isinstance(state, str):
+            _log.warning("unreadable news", why=state)
+            return False
+        self._told(state)
+        return True
+
+    async def _vote(self, action: CastVote) -> None:
+        """Carry one vote through; `reply` follows how far it had come."""
+        vote, number, reply = _Vote(action), self._next(), VoteReply.ERROR
+        try:
+            with anyio.move_on_after(self._vote_timeout):
+                async with self._sending:
+                    stream = self._stream
+                    if stream is None:
+                        return
+                    self._out[number] = vote
+                    reply = VoteReply.UNKNOWN  # from here on it may have been carried out
+                    try:
+                        await stream.send(rpc.call(number, news.VERDICT, news.vote(action)))
+                    except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+                        reply = VoteReply.ERROR
+                        return
+                await vote.done.wait()
+            if isinstance(vote.answer, rpc.Result):
+                if self._tell(vote.answer.value, VoteReply.COUNTED):
+                    reply = VoteReply.COUNTED
+            elif isinstance(vote.answer, rpc.Failure):
+                reply = news.reply_to_error(vote.answer.message)
+        except Exception:
+            _log.exception("vote failed")
+        finally:
+            self._out.pop(number, None)
+            _log.info("vote", build=action.build, stage=action.stage, verdict=action.verdict.name,
+                      reply=reply.name)
+            if reply is not VoteReply.COUNTED:
+                self._told(news.without_state(action, reply))
--- /dev/null
+++ b/frostfall/protocol/ending.py
@@ -0,0 +1,52 @@
+"""How an attempt ended, as a value that carries how far it had come."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+from frostfall.interface import Outcome
+from frostfall.protocol.pg_client import Answer, Refusal, Row
+
+REFUSALS = frozenset({"53300", "57P03"})  # turned away unseen: too many connections, or not serving now
+
+
+class Progress(IntEnum):
+    """How far an attempt had come."""
+
+    NO_CONNECTION = 0
+    NOT_WRITTEN = 1  # its last byte had not gone out
+    WRITTEN = 2
+    ANSWERING = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Ending:
+    """The end of an attempt: what came back, or what stopped it."""
+
+    progress: Progress
+    answer: Answer | None = None
+    timed_out: bool = False
+    cancelled: bool = False
+    why: str = ""
+
+    @property
+    def outcome(self) -> Outcome:
+        """The same in the project's terms; where it is not sure, the attempt may have run."""
+        answer, started = self.answer, self.progress >= Progress.WRITTEN
+        if isinstance(answer, Row):
+            return Outcome.SUCCESS
+        if isinstance(answer, Refusal):
+            if answer.code in REFUSALS:
+                return Outcome.OVERLOADED
+            return Outcome.ERROR if started else Outcome.UNREACHABLE
+        if self.cancelled:
+            return Outcome.CANCELLED
+        if not started:
+            return Outcome.UNREACHABLE
+        return Outcome.TIMED_OUT if self.timed_out else Outcome.RESET
+
+    @property
+    def load(self) -> str | None:
+        """The load report that came along."""
+        return self.answer.load if isinstance(self.answer, Row | Refusal) else None
--- /dev/null
+++ b/frostfall/protocol/statement.py
@@ -0,0 +1,78 @@
+"""The statements that clients send, with the facts in their comment."""
+
+from __future__ import annotations
+
+import math
+import re
+from dataclasses import dataclass
+
+_TEXT = rb"'([^']*(?:''[^']*)*)'"
+_STATEMENT = re.compile(
+    rb"\s*(?:SELECT payload FROM entries WHERE ref = " + _TEXT
+    + rb"|INSERT INTO entries \(ref, payload\) VALUES \(" + _TEXT + rb", " + _TEXT + rb"\) RETURNING payload)"
+    + rb"\s*/\*([^*]*)\*/\s*;?\s*\Z")
+_PAIR = re.compile(rb"\s*([a-z]+)=([^\s,]+)\s*\Z")
+_ID = re.compile(rb"[0-9a-zA-Z_.:-]{1,64}\Z")
+_NUMBER = re.compile(rb"[0-9]{1,7}\Z")
+
+
+@dataclass(frozen=True, slots=True)
+class Statement:
+    """A client's statement, ready to be passed on with another waiting time."""
+
+    request: str
+    class_name: str
+    key: str
+    wait_ms: int
+    is_retry: bool
+    hint: int | None
+    _before: bytes
+    _after: bytes
+
+    def waiting(self, wait_ms: int) -> bytes:
+        """The statement unchanged but for how long the answer is waited for."""
+        return b"%b%d%b" % (self._before, max(wait_ms, 1), self._after)
+
+
+def parse(text: bytes) -> Statement | str:
+    """Read a statement, or say in one phrase why it is none of the form."""
+    match = _STATEMENT.match(text)
+    if match is None:
+        return "a statement that is not in the form"
+    found: dict[bytes, tuple[bytes, int]] = {}
+    place = match.start(4)
+    for part in match[4].split(b","):
+        pair = _PAIR.match(part)
+        if pair is None or pair[1] in found:
+            return "a comment that does not hold names and values"
+        found[pair[1]] = pair[2], place + pair.start(2)
+        place += len(part) + 1
+    for name in (b"id", b"c", b"d"):
+        if name not in found:
+            return f"a comment without {name.decode()}"
+    (request, _), (wait, at) = found[b"id"], found[b"d"]
+    if not _ID.match(request):
+        return "a bad id"
+    if not _NUMBER.match(wait) or int(wait) == 0:
+        return "a bad d"
+    hint = found.get(b"h", (b"", 0))[0]
+    key = match[1] if match[1] is not None else match[2]
+    return Statement(
+        request=request.decode(), class_name=found[b"c"][0].decode("utf-8", "replace"),
+        key=key.decode("latin-1"), wait_ms=int(wait), is_retry=found.get(b"r", (b"", 0))[0] == b"1",
+        hint=int(hint) if _NUMBER.match(hint) else None,
+        _before=text[:at], _after=text[at + len(wait):])
+
+
+def load_values(text: str) -> dict[str, float]:
+    """The values of a load report such as `inflight=7,util=0.61`; what cannot be read is left out."""
+    values: dict[str, float] = {}
+    for part in text.split(","):
+        name, _, value = part.partition("=")
+        try:
+            number = float(value)
+        except ValueError:
+            continue
+        if math.isfinite(number):
+            values[name.strip()] = number
+    return values
--- a/frostfall/wirehost/codec.py
+++ b/frostfall/wirehost/codec.py
@@ -167,7 +167,8 @@
     )
 
 
-def _load(report: dict[str, float] | None) -> api.Load | None:
+def load(report: dict[str, float] | None) -> api.Load | None:
+    """A load report in the project's terms."""
     if not report:
         return None
     known = {name: value for name, value in report.items() if math.isfinite(value) and value >= 0}
@@ -201,7 +202,7 @@
                 outcome=_name(_OUTCOMES, message.ending, "ending"),
                 elapsed=message.cost_time_us,
                 final=message.final,
-                load=_load(message.report),
+                load=load(message.report),
             )
         case wire.Reminder():
             return api.TimerFired(message.ref)
@@ -231,7 +232,7 @@
                 server=message.appliance,
                 outcome=_name(_OUTCOMES, message.ending, "ending"),
                 elapsed=message.cost_time_us,
-                load=_load(message.report),
+                load=load(message.report),
             )
         case wire.CountsByBuild():
             return api.BuildTally(
