--- /dev/null
+++ b/tests/test_pg_client.py
@@ -0,0 +1,124 @@
+"""The client's side of PostgreSQL's protocol, fed whole, split at every byte, and with garbage."""
+
+from __future__ import annotations
+
+import random
+import struct
+
+import pytest
+
+from frostfall.protocol import pg
+from frostfall.protocol.pg import Malformed
+from frostfall.protocol.pg_client import ClientSide, Refusal, Row, State
+
+WELCOME = (pg.frame(b"R", b"\0\0\0\0") + pg.parameter_status("server_version", "15") +
+           pg.frame(b"K", b"\0" * 8) + pg.READY)
+VALUE = bytes(range(256)) * 256  # 64 KiB of whatever bytes
+
+
+def row(value: bytes) -> bytes:
+    describe = struct.pack("!H", 1) + b"payload\0" + struct.pack("!IHIhih", 0, 0, 17, -1, -1, 1)
+    return (pg.frame(b"T", describe) + pg.frame(b"D", struct.pack("!HI", 1, len(value)) + value)
+            + pg.frame(b"C", b"SELECT 1\0"))
+
+
+ANSWER = pg.parameter_status("vitals", "inflight=7,util=0.61") + row(b"\x00\xffv")
+
+
+def ready() -> ClientSide:
+    machine = ClientSide("web", "orders")
+    machine.feed(WELCOME)
+    assert machine.reusable
+    machine.ask(b"SELECT 1")
+    return machine
+
+
+@pytest.mark.parametrize("cut", range(len(WELCOME)))
+def test_the_start_split_at_every_byte(cut: int) -> None:
+    machine = ClientSide("web", "orders")
+    machine.feed(WELCOME[:cut])
+    assert machine.state is State.STARTING
+    machine.feed(WELCOME[cut:])
+    assert machine.state is State.READY and machine.reusable
+
+
+@pytest.mark.parametrize("cut", range(1, len(ANSWER + pg.READY)))
+def test_an_answer_split_at_every_byte(cut: int) -> None:
+    machine, data = ready(), ANSWER + pg.READY
+    machine.feed(data[:cut])
+    assert (machine.answer is not None) == (cut >= len(ANSWER))
+    machine.feed(data[cut:])
+    assert machine.answer == Row(row(b"\x00\xffv"), "inflight=7,util=0.61")
+    assert machine.reusable
+
+
+def test_a_value_of_64_kib_comes_through_byte_for_byte() -> None:
+    machine, data = ready(), row(VALUE) + pg.READY
+    for start in range(0, len(data), 1000):
+        machine.feed(data[start:start + 1000])
+    assert machine.answer == Row(row(VALUE), None)
+
+
+def test_a_connection_serves_again_and_forgets_the_last_answer() -> None:
+    machine = ready()
+    machine.feed(ANSWER + pg.READY)
+    assert machine.ask(b"x") == pg.frame(b"Q", b"x\0")
+    assert machine.answer is None
+    machine.feed(row(b"2") + pg.READY)
+    assert machine.answer == Row(row(b"2"), None)
+
+
+@pytest.mark.parametrize("code", ["XX000", "53300", "57P03"])
+def test_an_error_is_an_answer_and_the_connection_goes_on(code: str) -> None:
+    machine = ready()
+    machine.feed(pg.frame(b"N", b"SNOTICE\0\0") + pg.parameter_status("vitals", "queue=3")
+                 + pg.error_response("ERROR", code, "no") + pg.READY)
+    assert machine.answer == Refusal(code, "queue=3")
+    assert machine.reusable
+
+
+def test_an_error_at_the_start_ends_the_connection() -> None:
+    machine = ClientSide("web", "orders")
+    machine.feed(pg.error_response("FATAL", "53300", "too many"))
+    assert machine.answer == Refusal("53300", None)
+    assert machine.state is State.BROKEN
+
+
+def test_bytes_after_an_answer_make_a_connection_useless() -> None:
+    machine = ready()
+    machine.feed(ANSWER + pg.READY + b"E\0")
+    assert not machine.reusable
+
+
+@pytest.mark.parametrize("data", [
+    b"HTTP/1.1 400 Bad Request\r\n\r\n",
+    b"T\x00\x00\x00\x01",
+    pg.frame(b"D", b"\0\0"),
+    pg.frame(b"T", b"") + pg.frame(b"C", b"\0"),
+    pg.frame(b"Z", b"I"),
+    row(b"1")[:-len(pg.frame(b"C", b"SELECT 1\0"))] + pg.frame(b"D", b"")])
+def test_what_is_no_answer_breaks_the_connection(data: bytes) -> None:
+    machine = ready()
+    machine.feed(data)
+    assert machine.state is State.BROKEN and isinstance(machine.answer, Malformed)
+    assert not machine.reusable
+
+
+def test_garbage_never_raises_and_never_becomes_a_row() -> None:
+    dice = random.Random(5)
+    for _ in range(300):
+        machine = ready()
+        for _ in range(5):
+            machine.feed(dice.randbytes(dice.randrange(1, 100)))
+        assert not isinstance(machine.answer, Row)
+
+
+def test_a_password_is_not_given() -> None:
+    machine = ClientSide("web", "orders")
+    machine.feed(pg.frame(b"R", b"\0\0\0\3"))
+    assert machine.state is State.BROKEN
+
+
+def test_a_second_query_before_the_answer_is_a_fault_of_ours() -> None:
+    with pytest.raises(RuntimeError):
+        ready().ask(b"x")
