--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# Build, test, lint and run frostfall. `make run CONFIG=path/to/config.json` starts one agent.
+PYTHON ?= python3
+VENV ?= .venv
+CONFIG ?= deploy/example.json
+
+.PHONY: build test lint run clean
+
+build: $(VENV)/dev.txt
+
+$(VENV)/dev.txt: requirements.txt requirements-dev.txt
+	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip -q install -r requirements.txt -r requirements-dev.txt
+	cp requirements.txt $(VENV)/installed.txt
+	cp requirements-dev.txt $(VENV)/dev.txt
+
+test: build
+	PATH="$(CURDIR)/$(VENV)/bin:$$PATH" bash tests/run
+
+lint: build
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/mypy
+
+run: build
+	BALANCER_CONFIG=$(CONFIG) $(VENV)/bin/python -m frostfall
+
+clean:
+	rm -rf $(VENV) .ci-venv .mypy_cache .pytest_cache .ruff_cache
--- /dev/null
+++ b/tests/test_listing.py
@@ -0,0 +1,120 @@
+"""Discovery over HTTP, its lists, and their entries in the project's terms."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from frostfall import interface as api
+from frostfall.protocol import entries
+from frostfall.protocol.listing import BODY_MOST, CallFailed, Listing, Watch
+
+BODY = (b'{"generation":41,"reset":true,"instances":[{"instanceId":"s-5be2a07c","hostPort":"10.1.0.18:5432",'
+        b'"zone":"a","machineType":"m2","cell":3,"lifecycle":"in_service","weight":1.5,"startedAtMs":12,'
+        b'"build":41}]}')
+
+
+def response(body: bytes, status: str = "200 OK") -> bytes:
+    return b"HTTP/1.1 %b\r\nContent-Length: %d\r\n\r\n%b" % (status.encode(), len(body), body)
+
+
+def asked(since: int | None = 40) -> Watch:
+    watch = Watch("10.2.0.1:8500")
+    watch.call(since, 20_000)
+    return watch
+
+
+def test_calls() -> None:
+    assert Watch("h:1").call(None, 0).startswith(b"GET /v1/servers HTTP/1.1\r\nHost: h:1\r\n")
+    assert Watch("h:1").call(41, 20_000).startswith(b"GET /v1/servers?since=41&timeout_ms=20000 HTTP/1.1\r\n")
+
+
+@pytest.mark.parametrize("cut", range(len(response(BODY))))
+def test_an_answer_split_at_every_byte(cut: int) -> None:
+    watch, data = asked(), response(BODY)
+    assert (watch.feed(data[:cut]) if cut else None) is None
+    answer = watch.feed(data[cut:])
+    assert isinstance(answer, Listing) and (answer.generation, answer.reset) == (41, True)
+    assert watch.reusable
+
+
+def test_a_connection_carries_call_after_call() -> None:
+    watch = asked()
+    for _ in range(3):
+        assert isinstance(watch.feed(response(BODY)), Listing)
+        watch.call(41, 5000)
+    chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n0\r\n\r\n" % (len(BODY), BODY)
+    assert isinstance(watch.feed(chunked), Listing)
+
+
+def test_a_closing_answer_counts_but_the_connection_is_done() -> None:
+    watch = asked()
+    answer = watch.feed(response(BODY).replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n", 1))
+    assert isinstance(answer, Listing) and not watch.reusable
+
+
+@pytest.mark.parametrize("data", [
+    response(b"busy", "503 Service Unavailable"), response(b"nonsense"), response(b"[]"),
+    response(b'{"generation":"x","reset":true}'), b"garbage\r\n\r\n", b"", response(BODY)[:-5] + b"",
+    response(b'{"generation":1,"reset":true,"instances":[{"instanceId":5}]}')])
+def test_what_is_no_list_is_a_failure(data: bytes) -> None:
+    watch = asked()
+    answer = watch.feed(data) if data else None
+    if answer is None:
+        answer = watch.feed(b"")  # the end of the stream
+    assert isinstance(answer, CallFailed)
+
+
+def test_a_list_without_end_is_cut_off() -> None:
+    watch = asked()
+    answer = watch.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n")
+    for _ in range(BODY_MOST // 60_000 + 2):
+        answer = answer or watch.feed(b"x" * 60_000)
+    assert isinstance(answer, CallFailed)
+
+
+def test_garbage_never_raises() -> None:
+    dice = random.Random(4)
+    for _ in range(200):
+        assert not isinstance(asked().feed(dice.randbytes(100)), Listing)
+
+
+def entry(**changes: object) -> api.Server:
+    watch = asked()
+    body = BODY
+    for key, value in changes.items():
+        body = body.replace(key.encode(), str(value).encode())
+    answer = watch.feed(response(body))
+    assert isinstance(answer, Listing)
+    return entries.listed(answer, api.ListKind.COMPLETE).servers[0]
+
+
+def test_an_entry() -> None:
+    got = entry()
+    assert got == api.Server(entries.server_id("s-5be2a07c"), 41, "a", 3, 1.5, 12_000, api.Availability.UP)
+
+
+@pytest.mark.parametrize(("state", "availability"), [
+    ("terminating", api.Availability.DRAINING), ("terminated", api.Availability.REMOVED),
+    ("unheard_of", api.Availability.DRAINING)])
+def test_states(state: str, availability: api.Availability) -> None:
+    assert entry(in_service=state).availability is availability
+
+
+def test_an_instance_has_the_same_number_at_every_agent() -> None:
+    assert entries.server_id("s-5be2a07c") == 54393183237098
+    assert len({entries.server_id(f"s-{number}") for number in range(10_000)}) == 10_000
+
+
+@pytest.mark.parametrize("text", ["inflight=7,queue=2,qps=31.5", "busy_reqs=7,pending=2,served_ps=31.5"])
+def test_load_reports_under_either_name(text: str) -> None:
+    load = entries.load(text)
+    assert load is not None
+    assert (load.held, load.queued, load.served_per_s) == (7, 2, 31.5)
+
+
+@pytest.mark.parametrize("text", [None, "", "nonsense", "inflight=-1"])
+def test_a_load_report_that_says_nothing(text: str | None) -> None:
+    load = entries.load(text)
+    assert load is None or load.held is None
--- /dev/null
+++ b/tests/test_net_appliances.py
@@ -0,0 +1,167 @@
+"""Attempts against a stand-in: every row of the protocol's table, reuse, cancelling, bounds."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import replace
+
+import anyio
+import pytest
+
+from frostfall.config import Address
+from frostfall.interface import Outcome
+from frostfall.net.appliances import Appliances, Attempt
+from frostfall.net.clock import Clock
+from frostfall.protocol.ending import Ending, Progress
+from frostfall.protocol.pg_client import Row
+from tests.standins import LONG, Appliance, free_port, listening, row
+from tests.support import SETTINGS
+
+pytestmark = pytest.mark.anyio
+LIMITS = SETTINGS.limits
+
+
+def pool(most: int = 100, **changes: int) -> Appliances:
+    return Appliances(Clock(), replace(LIMITS, **changes), most)
+
+
+async def attempt(appliances: Appliances, address: Address, wait: float = 5.0, text: bytes = b"SELECT",
+                  begun: Callable[[Attempt], None] = lambda _: None) -> Ending:
+    """One attempt's end, which must be told exactly once."""
+    one, ends = Attempt(), list[Ending]()
+    begun(one)
+    deadline = appliances._clock.now() + int(wait * 1e6)
+    with anyio.fail_after(LONG):
+        await appliances.attempt(one, address, lambda: text, deadline, ends.append)
+    ending, = ends
+    return ending
+
+
+@pytest.mark.parametrize(("mode", "outcome", "connections_kept"), [
+    ("serve", Outcome.SUCCESS, 1), ("XX000", Outcome.ERROR, 1), ("53300", Outcome.OVERLOADED, 1),
+    ("reset", Outcome.RESET, 0), ("half", Outcome.RESET, 0), ("garbage", Outcome.RESET, 0),
+    ("crowded", Outcome.OVERLOADED, 0), ("hang up", Outcome.UNREACHABLE, 0),
+    ("mute", Outcome.UNREACHABLE, 0)])
+async def test_outcomes(mode: str, outcome: Outcome, connections_kept: int) -> None:
+    appliance, appliances = Appliance(mode), pool(connect_timeout=200_000)
+    async with listening(appliance) as address:
+        ending = await attempt(appliances, address)
+        assert ending.outcome is outcome
+        assert len(appliances) == connections_kept
+        assert appliance.statements == ([b"SELECT"] if ending.progress >= Progress.WRITTEN else [])
+
+
+async def test_nobody_listens() -> None:
+    appliances = pool()
+    assert (await attempt(appliances, Address("127.0.0.1", free_port()))).outcome is Outcome.UNREACHABLE
+    assert len(appliances) == 0
+
+
+async def test_no_answer_in_time_and_the_connection_is_closed_before_the_end_is_told() -> None:
+    appliance, appliances = Appliance("silent"), pool()
+    async with listening(appliance) as address:
+        ending = await attempt(appliances, address, wait=0.1)
+        assert ending.outcome is Outcome.TIMED_OUT
+        assert len(appliances) == 0
+        with anyio.fail_after(LONG):
+            await appliance.ended.wait()
+
+
+async def test_giving_up_closes_the_connection_at_once() -> None:
+    appliance, appliances = Appliance("silent"), pool()
+    async with listening(appliance) as address, anyio.create_task_group() as group:
+        async def give_up(one: Attempt) -> None:
+            await appliance.asked.wait()
+            one.give_up()
+
+        began = time.monotonic()
+        ending = await attempt(appliances, address, begun=lambda one: group.start_soon(give_up, one))
+        assert ending.outcome is Outcome.CANCELLED
+        assert time.monotonic() - began < 4
+        with anyio.fail_after(LONG):
+            await appliance.ended.wait()
+        assert len(appliances) == 0
+
+
+async def test_giving_up_before_it_began_sends_nothing() -> None:
+    appliance, appliances = Appliance(), pool()
+    async with listening(appliance) as address:
+        assert (await attempt(appliances, address, begun=Attempt.give_up)).outcome is Outcome.CANCELLED
+        assert appliance.statements == [] and len(appliances) == 0
+
+
+async def test_connections_are_reused_one_request_on_each() -> None:
+    appliance, appliances = Appliance(), pool()
+    async with listening(appliance) as address:
+        for _ in range(5):
+            assert (await attempt(appliances, address)).outcome is Outcome.SUCCESS
+        assert (appliance.connections, len(appliances)) == (1, 1)
+        async with anyio.create_task_group() as group:
+            for _ in range(4):
+                group.start_soon(attempt, appliances, address)
+        assert appliance.connections <= 5 and len(appliance.statements) == 9
+
+
+async def test_a_connection_found_closed_is_no_attempt() -> None:
+    appliance, appliances = Appliance("serve once"), pool()
+    async with listening(appliance) as address:
+        for number in range(1, 4):
+            assert (await attempt(appliances, address)).outcome is Outcome.SUCCESS
+            with anyio.fail_after(LONG):
+                await appliance.ended.wait()
+            appliance.ended = anyio.Event()
+            assert (appliance.connections, len(appliance.statements)) == (number, number)
+
+
+async def test_idle_connections_are_closed_before_the_settings_time() -> None:
+    appliance, appliances = Appliance(), pool(connection_idle=100_000)
+    async with listening(appliance) as address, anyio.create_task_group() as group:
+        await attempt(appliances, address)
+        assert len(appliances) == 1
+        group.start_soon(appliances.sweep)
+        with anyio.fail_after(LONG):
+            await appliance.ended.wait()
+        assert len(appliances) == 0
+        group.cancel_scope.cancel()
+
+
+async def test_the_pool_is_bounded_and_makes_room_by_closing_what_is_idle() -> None:
+    first, second, appliances = Appliance(), Appliance(), pool(most=1)
+    async with listening(first) as one, listening(second) as two:
+        assert (await attempt(appliances, one)).outcome is Outcome.SUCCESS
+        assert (await attempt(appliances, two)).outcome is Outcome.SUCCESS
+        assert len(appliances) == 1
+        second.mode = "silent"
+        async with anyio.create_task_group() as group:
+            group.start_soon(attempt, appliances, two, 1.0)
+            second.asked = anyio.Event()
+            await second.asked.wait()
+            assert (await attempt(appliances, one)).outcome is Outcome.UNREACHABLE
+    assert len(appliances) == 0
+
+
+async def test_a_value_of_64_kib_comes_through_byte_for_byte() -> None:
+    value = bytes(range(256)) * 256
+    async with listening(Appliance(value=value)) as address:
+        ending = await attempt(pool(), address)
+        assert ending.answer == Row(row(value), "inflight=7,queue=2")
+
+
+async def test_the_statement_is_written_once_and_whole() -> None:
+    appliance, text = Appliance(), b"INSERT " + b"ab" * 65_536
+    async with listening(appliance) as address:
+        assert (await attempt(pool(), address, text=text)).outcome is Outcome.SUCCESS
+        assert appliance.statements == [text]
+
+
+async def test_a_fault_of_ours_ends_the_attempt_as_one_that_may_have_run() -> None:
+    def fault() -> bytes:
+        raise ValueError("no statement")
+
+    appliances, ends = pool(), list[Ending]()
+    async with listening(Appliance()) as address:
+        await appliances.attempt(Attempt(), address, fault, appliances._clock.now() + 1_000_000, ends.append)
+    ending, = ends
+    assert not ending.outcome.never_ran
+    assert len(appliances) == 0
--- /dev/null
+++ b/tests/test_net_clock.py
@@ -0,0 +1,51 @@
+"""The clock that agents share, and the timers."""
+
+from __future__ import annotations
+
+import time
+
+import anyio
+import pytest
+
+from frostfall.net.clock import Clock, Timers
+from tests.standins import LONG
+
+
+def test_it_is_unix_time_and_two_agents_agree() -> None:
+    one, other = Clock(), Clock()
+    assert abs(one.now() - other.now()) < 50_000
+    assert abs(one.now() - time.time() * 1e6) < 50_000
+
+
+def test_it_never_goes_back_though_the_wall_clock_does() -> None:
+    wall, steady = [10**18], [5 * 10**9]
+    clock = Clock(lambda: wall[0], lambda: steady[0])
+    first = clock.now()
+    assert first == 10**15
+    wall[0] -= 3600 * 10**9
+    steady[0] += 2_000_000
+    assert clock.now() == first + 2000
+
+
+@pytest.mark.anyio
+async def test_timers_come_due_in_order_and_an_earlier_one_is_not_kept_waiting() -> None:
+    clock, due, done = Clock(), list[str](), anyio.Event()
+    timers = Timers(clock)
+
+    def fire(token: str) -> None:
+        due.append(token)
+        if token == "first":
+            timers.set(1_000, "second")
+            timers.set(1_000, "third")
+        if token == "third":
+            done.set()
+
+    timers.set(60_000_000, "never")
+    async with anyio.create_task_group() as group:
+        group.start_soon(timers.run, fire)
+        await anyio.wait_all_tasks_blocked()
+        timers.set(1_000, "first")
+        with anyio.fail_after(LONG):
+            await done.wait()
+        group.cancel_scope.cancel()
+    assert due == ["first", "second", "third"] and len(timers) == 1
--- /dev/null
+++ b/tests/test_net_peers.py
@@ -0,0 +1,50 @@
+"""Datagrams between agents."""
+
+from __future__ import annotations
+
+import socket
+
+import anyio
+import pytest
+
+from frostfall.config import Address
+from frostfall.net.peers import DATAGRAM_MOST, Peers
+from tests.standins import LONG, free_port
+
+pytestmark = pytest.mark.anyio
+
+
+async def test_messages_of_peers_arrive_and_all_others_are_ignored() -> None:
+    addresses = tuple(Address("127.0.0.1", free_port(socket.SOCK_DGRAM)) for _ in range(3))
+    heard, more = list[tuple[int, str]](), anyio.Event()
+
+    def told(sender: int, text: str) -> None:
+        heard.append((sender, text))
+        more.set()
+
+    receiver = Peers(addresses[0], addresses[:2], None, told)
+    sender = Peers(addresses[1], addresses[:2], addresses[0], lambda *_: None)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger, socket.socket(
+            socket.AF_INET, socket.SOCK_DGRAM) as known:
+        known.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        known.bind((addresses[1].host, addresses[1].port))
+        async with anyio.create_task_group() as group:
+            group.start_soon(receiver.run)
+            await anyio.wait_all_tasks_blocked()
+            target = (addresses[0].host, addresses[0].port)
+            stranger.sendto(b"foreign", target)
+            known.sendto(b"x" * (DATAGRAM_MOST + 1), target)
+            known.sendto(b"\xff\xfe", target)
+            known.close()
+            group.start_soon(sender.run)
+            sender.tell(0, "one")
+            sender.tell(None, "all")
+            sender.tell(7, "nobody")
+            sender.tell(0, "x" * (DATAGRAM_MOST + 1))
+            sender.tell(0, "last")
+            with anyio.fail_after(LONG):
+                while len(heard) < 3:
+                    more = anyio.Event()
+                    await more.wait()
+            group.cancel_scope.cancel()
+    assert heard == [(1, "one"), (1, "all"), (1, "last")]
--- /dev/null
+++ b/tests/test_net_platform.py
@@ -0,0 +1,172 @@
+"""The platform against a stand-in: news, every row of the table of votes, silence, reconnecting."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+import msgspec
+import pytest
+from anyio.abc import ByteStream
+
+from frostfall import interface as api
+from frostfall.config import Address
+from frostfall.interface import RolloutNews, Verdict, VoteReply
+from frostfall.net import platform as driver
+from frostfall.net.platform import Platform
+from tests.standins import LONG, free_port, listening, reset
+from tests.support import S
+
+pytestmark = pytest.mark.anyio
+STATE = {"release": 42, "tranche": 1, "mode": "canary", "exposure": 0.28, "old_ms": 310}
+VOTE = api.CastVote(42, 1, Verdict.ON)
+
+
+class Desk:
+    """Answers `listen` with the newest state, and each vote by a function."""
+
+    def __init__(self, vote: Callable[[ByteStream, int], Awaitable[None]] | None = None) -> None:
+        self.vote, self.connections, self.calls = vote, 0, list[dict]()
+
+    async def __call__(self, stream: ByteStream) -> None:
+        self.connections += 1
+        data = b""
+        while True:
+            data += await stream.receive()
+            *lines, data = data.split(b"\n")
+            for line in lines:
+                call = msgspec.json.decode(line)
+                self.calls.append(call)
+                if call["method"] == "listen":
+                    await say(stream, {"id": call["id"], "result": True})
+                    await say(stream, {"method": "news", "params": STATE})
+                elif self.vote:
+                    await self.vote(stream, call["id"])
+
+
+async def say(stream: ByteStream, message: dict) -> None:
+    await stream.send(msgspec.json.encode({"jsonrpc": "2.0"} | message) + b"\n")
+
+
+class Told:
+    """What the driver tells, to be waited for."""
+
+    def __init__(self) -> None:
+        self.news: list[RolloutNews] = []
+        self.more = anyio.Event()
+
+    def __call__(self, news: RolloutNews) -> None:
+        self.news.append(news)
+        self.more.set()
+
+    async def until(self, count: int) -> list[RolloutNews]:
+        with anyio.fail_after(LONG):
+            while len(self.news) < count:
+                self.more = anyio.Event()
+                await self.more.wait()
+        return self.news
+
+
+async def reply_to_a_vote(desk: Desk) -> RolloutNews:
+    told = Told()
+    async with listening(desk) as address, anyio.create_task_group() as group:
+        platform = Platform(address, 300_000, 1, told)
+        group.start_soon(platform.run)
+        await told.until(1)
+        platform.cast(VOTE)
+        news = (await told.until(2))[1]
+        group.cancel_scope.cancel()
+    return news
+
+
+async def test_news_comes_at_once_and_as_it_changes() -> None:
+    told, desk = Told(), Desk()
+    async with listening(desk) as address, anyio.create_task_group() as group:
+        group.start_soon(Platform(address, S, 1, told).run)
+        first, = await told.until(1)
+        assert first == RolloutNews(42, 1, api.Phase.TRIAL, 0.28, 310_000, VoteReply.NONE)
+        assert desk.calls[0] == {"jsonrpc": "2.0", "id": 1, "method": "listen"}
+        group.cancel_scope.cancel()
+
+
+async def test_a_vote_that_counts_brings_the_state() -> None:
+    async def vote(stream: ByteStream, number: int) -> None:
+        await say(stream, {"method": "ping"})
+        await say(stream, {"id": 999, "result": STATE})  # nobody asked
+        await say(stream, {"id": number, "result": STATE | {"tranche": 2}})
+
+    desk = Desk(vote)
+    news = await reply_to_a_vote(desk)
+    assert (news.reply, news.stage) == (VoteReply.COUNTED, 2)
+    assert desk.calls[1]["params"] == {"release": 42, "tranche": 1, "ruling": "PROCEED"}
+
+
+@pytest.mark.parametrize(("message", "reply"), [
+    ("throttled", VoteReply.OVERLOADED), ("conflict", VoteReply.VOID), ("internal", VoteReply.ERROR),
+    ("invalid", VoteReply.ERROR)])
+async def test_errors(message: str, reply: VoteReply) -> None:
+    async def vote(stream: ByteStream, number: int) -> None:
+        await say(stream, {"id": number, "error": {"code": -32602, "message": message}})
+
+    assert (await reply_to_a_vote(Desk(vote))).reply is reply
+
+
+async def test_no_answer_or_a_break_or_garbage_leaves_it_unknown() -> None:
+    async def silent(_: ByteStream, __: int) -> None:
+        pass
+
+    async def broken(stream: ByteStream, _: int) -> None:
+        reset(stream)
+        await stream.aclose()
+
+    async def garbage(stream: ByteStream, _: int) -> None:
+        await stream.send(b"what?\n")
+
+    async def odd_state(stream: ByteStream, number: int) -> None:
+        await say(stream, {"id": number, "result": {"mode": 5}})
+
+    for vote in (silent, broken, garbage, odd_state):
+        assert (await reply_to_a_vote(Desk(vote))).reply is VoteReply.UNKNOWN, vote.__name__
+
+
+async def test_votes_are_matched_by_id_and_answered_in_order() -> None:
+    waiting: list[int] = []
+
+    async def vote(stream: ByteStream, number: int) -> None:
+        waiting.append(number)
+        if len(waiting) == 2:
+            await say(stream, {"id": waiting[0], "error": {"code": -32602, "message": "conflict"}})
+            await say(stream, {"id": waiting[1], "result": STATE})
+
+    told = Told()
+    async with listening(Desk(vote)) as address, anyio.create_task_group() as group:
+        platform = Platform(address, 5 * S, 1, told)
+        group.start_soon(platform.run)
+        await told.until(1)
+        platform.cast(VOTE)
+        platform.cast(api.CastVote(42, 1, Verdict.BACK))
+        assert [news.reply for news in (await told.until(3))[1:]] == [VoteReply.VOID, VoteReply.COUNTED]
+        group.cancel_scope.cancel()
+
+
+async def test_a_vote_with_no_connection_was_not_carried_out() -> None:
+    told = Told()
+    async with anyio.create_task_group() as group:
+        platform = Platform(Address("127.0.0.1", free_port()), S, 1, told)
+        platform.cast(VOTE)
+        assert told.news[0].reply is VoteReply.ERROR
+        group.start_soon(platform.run)
+        await anyio.wait_all_tasks_blocked()
+        platform.cast(VOTE)
+        assert (await told.until(2))[1].reply is VoteReply.ERROR
+        group.cancel_scope.cancel()
+
+
+async def test_silence_and_unreadable_lines_lead_to_a_new_connection(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(driver, "SILENCE", 0.1)
+    told, desk = Told(), Desk()
+    async with listening(desk) as address, anyio.create_task_group() as group:
+        group.start_soon(Platform(address, S, 1, told).run)
+        await told.until(3)
+        assert desk.connections >= 3
+        group.cancel_scope.cancel()
--- /dev/null
+++ b/tests/test_rpc.py
@@ -0,0 +1,108 @@
+"""JSON-RPC lines and the platform's words."""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+import pytest
+
+from frostfall import interface as api
+from frostfall.protocol import news, rpc
+
+STATE = {"release": 42, "tranche": 1, "mode": "canary", "exposure": 0.28, "old_ms": 310}
+STREAM = (b'{"jsonrpc":"2.0","id":10,"result":true}\n'
+          b'{"jsonrpc":"2.0","method":"ping"}\r\n\n'
+          b'{"jsonrpc":"2.0","method":"news","params":' + msgspec.json.encode(STATE) + b"}\n"
+          b'{"jsonrpc":"2.0","id":11,"error":{"code":-32602,"message":"throttled"}}\n')
+MEANING = [rpc.Result(10, True), rpc.Notification("ping", None), rpc.Notification("news", STATE),
+           rpc.Failure(11, "throttled")]
+
+
+def drain(lines: rpc.Lines) -> list[rpc.Incoming]:
+    messages = []
+    while (message := lines.next_message()) is not None:
+        messages.append(message)
+        if isinstance(message, rpc.Unreadable):
+            break
+    return messages
+
+
+@pytest.mark.parametrize("cut", range(len(STREAM)))
+def test_lines_split_at_every_byte(cut: int) -> None:
+    lines = rpc.Lines()
+    lines.feed(STREAM[:cut])
+    first = drain(lines)
+    lines.feed(STREAM[cut:])
+    assert first + drain(lines) == MEANING
+
+
+def test_lines_byte_by_byte() -> None:
+    lines, messages = rpc.Lines(), []
+    for byte in STREAM:
+        lines.feed(bytes([byte]))
+        messages += drain(lines)
+    assert messages == MEANING
+
+
+@pytest.mark.parametrize("line", [b"nonsense", b"[1]", b"{}", b'{"id":"x","result":1}', b'{"id":1}', b"\xff",
+                                  b'{"id":1,"error":"text"}', b"[" * 100_000])
+def test_a_line_that_is_none_of_these_is_unreadable(line: bytes) -> None:
+    lines = rpc.Lines()
+    lines.feed(line + b"\n")
+    assert isinstance(lines.next_message(), rpc.Unreadable)
+
+
+def test_an_endless_line_is_unreadable_and_not_kept() -> None:
+    lines = rpc.Lines()
+    for _ in range(100):
+        lines.feed(b"x" * 10_000)
+    assert isinstance(lines.next_message(), rpc.Unreadable)
+    assert len(lines._buffer) <= rpc.LINE_MOST
+
+
+def test_garbage_never_raises() -> None:
+    dice = random.Random(2)
+    for _ in range(300):
+        lines = rpc.Lines()
+        lines.feed(dice.randbytes(80) + b"\n")
+        drain(lines)
+
+
+def test_a_call_is_one_line() -> None:
+    vote = news.vote(api.CastVote(42, 1, api.Verdict.ON))
+    line = rpc.call(11, "verdict", vote)
+    assert line.endswith(b"\n") and line.count(b"\n") == 1
+    assert msgspec.json.decode(line) == {
+        "jsonrpc": "2.0", "id": 11, "method": "verdict",
+        "params": {"release": 42, "tranche": 1, "ruling": "PROCEED"}}
+    assert msgspec.json.decode(rpc.call(1, "listen")) == {"jsonrpc": "2.0", "id": 1, "method": "listen"}
+
+
+@pytest.mark.parametrize(("verdict", "ruling"), [
+    (api.Verdict.NONE, "WITHDRAW"), (api.Verdict.ON, "PROCEED"), (api.Verdict.HOLD, "HOLD"),
+    (api.Verdict.BACK, "ROLLBACK")])
+def test_rulings(verdict: api.Verdict, ruling: str) -> None:
+    assert news.vote(api.CastVote(1, 0, verdict))["ruling"] == ruling
+
+
+@pytest.mark.parametrize(("mode", "phase"), [
+    ("canary", api.Phase.TRIAL), ("reverting", api.Phase.GOING_BACK), ("stable", api.Phase.RELEASED),
+    ("reverted", api.Phase.WITHDRAWN)])
+def test_modes(mode: str, phase: api.Phase) -> None:
+    state = news.read(STATE | {"mode": mode}, api.VoteReply.COUNTED)
+    assert state == api.RolloutNews(42, 1, phase, 0.28, 310_000, api.VoteReply.COUNTED)
+
+
+@pytest.mark.parametrize("change", [{"mode": "odd"}, {"exposure": 2}, {"release": "x"}, {"tranche": None}])
+def test_a_state_that_cannot_be_read_is_told_by_its_key(change: dict[str, object]) -> None:
+    state = news.read(STATE | change, api.VoteReply.NONE)
+    assert isinstance(state, str) and f"$.{next(iter(change))}" in state
+    assert isinstance(news.read(7, api.VoteReply.NONE), str)
+
+
+@pytest.mark.parametrize(("message", "reply"), [
+    ("throttled", api.VoteReply.OVERLOADED), ("conflict", api.VoteReply.VOID),
+    ("internal", api.VoteReply.ERROR), ("invalid", api.VoteReply.ERROR)])
+def test_errors_of_the_platform(message: str, reply: api.VoteReply) -> None:
+    assert news.reply_to_error(message) is reply
