--- a/frostfall/net/agent.py
+++ b/frostfall/net/agent.py
@@ -220,9 +220,12 @@
         if listing.reset:
             self._addresses.clear()
         for entry in listing.instances:
+            number = entries.server_id(entry.instance_id)
             host, _, port = entry.host_port.rpartition(":")
-            if port.isdigit():
-                self._addresses[entries.server_id(entry.instance_id)] = Address(host, int(port))
+            if entry.lifecycle == entries.REMOVED or not port.isdigit():
+                self._addresses.pop(number, None)
+            else:
+                self._addresses[number] = Address(host, int(port))
 
     def _list_failed(self) -> None:
         self.post(api.ServersListed(api.ListKind.FAILED, ()))
@@ -269,6 +272,12 @@
         self._clients.drain()
         await anyio.sleep(LINGER)
         self._clients.stop()
+        # Danger: a client that does not read its answer would keep the agent for good.
+        longest = max(kind.deadline for kind in self._config.settings.classes)
+        await anyio.sleep((longest + self._config.settings.rules.answer_slack) / 1e6)
+        _log.warning("stopped before all was read", clients=len(self._clients))
+        if self._group:
+            self._group.cancel_scope.cancel()
 
     async def _health(self) -> None:
         while True:
--- a/frostfall/net/clients.py
+++ b/frostfall/net/clients.py
@@ -43,6 +43,7 @@
         self._idle = anyio.Event()
         self._advancing = False
         self._last = False  # whether the connection ends once what is to be said is said
+        self._used = anyio.current_time()
         self.request: str | None = None  # the request that waits for its answer
         self.draining = False
 
@@ -68,10 +69,19 @@
         if not self._last:
             self._advance()
 
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is under way: no answer is owed and no query half read."""
+        return not (self._machine.busy or self._machine.buffered or self._last)
+
+    def rank(self) -> tuple[bool, float]:
+        """The order in which idle connections are closed: used longest ago first, new ones last."""
+        return not self._machine.started, self._used
+
     def drain(self) -> None:
         """End once the answer is given, or at once where none is owed."""
         self.draining = True
-        if not self._machine.busy and not self._machine.buffered:
+        if self.idle:
             self._say(b"", last=True)
 
     def _say(self, data: bytes, last: bool = False) -> None:
@@ -113,6 +123,7 @@
                 data = await self._stream.receive(READ_MOST)
             except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
                 return
+            self._used = anyio.current_time()
             self._machine.feed(data)
             self._advance()
 
@@ -190,9 +201,9 @@
     async def _make_room(self) -> None:
         # Between requests a connection may be closed; those that wait for an answer stay.
         self._room = anyio.Event()
-        for client in self._open:
-            if client.request is None:
-                client.drain()
+        idle = [client for client in self._open if client.idle]
+        if idle:
+            min(idle, key=Client.rank).drain()
         await self._room.wait()
 
     def drain(self) -> None:
--- a/frostfall/protocol/entries.py
+++ b/frostfall/protocol/entries.py
@@ -9,10 +9,12 @@
 from frostfall.protocol.statement import load_values
 from frostfall.wirehost import codec
 
+REMOVED = "terminated"
+
 _AVAILABILITY = {
     "in_service": api.Availability.UP,
     "terminating": api.Availability.DRAINING,
-    "terminated": api.Availability.REMOVED,
+    REMOVED: api.Availability.REMOVED,
 }
 _LOAD_NAMES = {  # appliances' words for what the settings name
     "inflight": "busy_reqs",
