--- a/frostfall/net/appliances.py
+++ b/frostfall/net/appliances.py
@@ -128,7 +128,7 @@
                 attempt.progress = Progress.ANSWERING
         except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
             return Ending(attempt.progress, why=repr(error))
-        return Ending(attempt.progress, machine.answer)
+        return Ending(attempt.progress, machine.answer, load=machine.load)
 
     async def _take(self, address: Address) -> Connection | None:
         """The connection that was used last, if it still stands."""
--- a/frostfall/protocol/ending.py
+++ b/frostfall/protocol/ending.py
@@ -28,6 +28,7 @@
     answer: Answer | None = None
     timed_out: bool = False
     cancelled: bool = False
+    load: str | None = None  # the load report that came along
     why: str = ""
 
     @property
@@ -45,8 +46,3 @@
         if not started:
             return Outcome.UNREACHABLE
         return Outcome.TIMED_OUT if self.timed_out else Outcome.RESET
-
-    @property
-    def load(self) -> str | None:
-        """The load report that came along."""
-        return self.answer.load if isinstance(self.answer, Row | Refusal) else None
--- a/frostfall/protocol/pg_client.py
+++ b/frostfall/protocol/pg_client.py
@@ -27,7 +27,6 @@
     """The answer of a query that was served: its messages as they came, without ReadyForQuery."""
 
     data: bytes
-    load: str | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,14 +34,17 @@
     """The answer of a query that was not: the error's code."""
 
     code: str
-    load: str | None
 
 
 Answer = Row | Refusal | Malformed
 
 
 class ClientSide:
-    """Fed an appliance's bytes; `answer` holds what the last query, or the start, led to."""
+    """Fed an appliance's bytes.
+
+    `answer` holds what the last query, or the start, led to; `load` the load report that came with it, which
+    may follow the answer and precede ReadyForQuery.
+    """
 
     def __init__(self, user: str, database: str) -> None:
         """A connection that has yet to say who it is: `opening` goes out first."""
@@ -51,7 +53,7 @@
         self.answer: Answer | None = None
         self._buffer = Buffer(pg.BUFFER_MOST)
         self._messages: list[bytes] = []
-        self._load: str | None = None
+        self.load: str | None = None
 
     @property
     def reusable(self) -> bool:
@@ -62,7 +64,7 @@
         """The bytes of a query, of which one may be out at a time."""
         if self.state is not State.READY:
             raise RuntimeError(f"a query on a connection in state {self.state.name}")
-        self.state, self.answer, self._messages, self._load = State.ASKED, None, [], None
+        self.state, self.answer, self._messages, self.load = State.ASKED, None, [], None
         return pg.frame(b"Q", statement + b"\0")
 
     def feed(self, data: bytes) -> None:
@@ -86,12 +88,12 @@
         if kind == b"S":
             name, _, value = payload.rstrip(b"\0").partition(b"\0")
             if name == LOAD_PARAMETER.encode():
-                self._load = value.decode("utf-8", "replace")
+                self.load = value.decode("utf-8", "replace")
         elif kind == b"N":
             pass
         elif kind == b"E" and self.state is not State.ANSWERED:
             starting = self.state is State.STARTING
-            self.answer = Refusal(pg.error_fields(payload).get("C", ""), self._load)
+            self.answer = Refusal(pg.error_fields(payload).get("C", ""))
             self.state = State.BROKEN if starting or self.state is State.READY else State.ANSWERED
         elif self.state is State.STARTING:
             self._starting(kind, payload)
@@ -116,5 +118,5 @@
             return self._break(Malformed.ORDER)
         self._messages.append(pg.frame(kind, payload))
         if kind == b"C":
-            self.answer, self.state = Row(b"".join(self._messages), self._load), State.ANSWERED
+            self.answer, self.state = Row(b"".join(self._messages)), State.ANSWERED
         return None
