--- a/frostfall/net/agent.py
+++ b/frostfall/net/agent.py
@@ -15,7 +15,7 @@
 from frostfall import interface as api
 from frostfall import log
 from frostfall.brain import Brain
-from frostfall.config import Address, Config
+from frostfall.config import Address, Config, ConfigError, address
 from frostfall.net.appliances import Appliances, Attempt
 from frostfall.net.clients import Client, Clients
 from frostfall.net.clock import Clock, Timers
@@ -67,7 +67,8 @@
         self._clients = Clients(self, half)
         self._appliances = Appliances(self.clock, config.settings.limits, half)
         self._discovery = Discovery(config.discovery, config.known.generation,
-                                    config.settings.rules.ask_within, self._listed, self._list_failed)
+                                    config.settings.rules.ask_within, self._listed, self._list_failed,
+                                    unasked=not config.settings.must_subscribe)
         rollout = config.settings.rollout
         self._platform = Platform(config.platform, rollout.vote_timeout, config.seed,
                                   self.post) if config.platform and rollout else None
@@ -180,10 +181,10 @@
         attempt, number, began = Attempt(), len(request.attempts), now
         deadline = min(now + action.timeout, request.deadline) if action.timeout else request.deadline
         request.attempts.append(attempt)
-        address = self._addresses.get(action.server)
-        if address is None:
-            never = api.Outcome.NEVER_SENT
-            self.post(api.AttemptEnded(action.request, number, action.server, never, 0, False))
+        target = self._addresses.get(action.server)
+        if target is None:
+            unreachable = api.Outcome.UNREACHABLE
+            self.post(api.AttemptEnded(action.request, number, action.server, unreachable, 0, False))
             return
         request.out += 1
 
@@ -193,7 +194,7 @@
         def done(ending: Ending) -> None:
             self._ended(request, action, number, began, ending)
 
-        self._group.start_soon(self._appliances.attempt, attempt, address, write, deadline, done)
+        self._group.start_soon(self._appliances.attempt, attempt, target, write, deadline, done)
 
     def _ended(self, request: _Request, action: api.SendAttempt, number: int, began: int,
                ending: Ending) -> None:
@@ -221,11 +222,12 @@
             self._addresses.clear()
         for entry in listing.instances:
             number = entries.server_id(entry.instance_id)
-            host, _, port = entry.host_port.rpartition(":")
-            if entry.lifecycle == entries.REMOVED or not port.isdigit():
-                self._addresses.pop(number, None)
-            else:
-                self._addresses[number] = Address(host, int(port))
+            self._addresses.pop(number, None)
+            if entry.lifecycle != entries.REMOVED:
+                try:
+                    self._addresses[number] = address(entry.host_port, entry.instance_id)
+                except ConfigError as error:  # what is sent there then never goes out
+                    _log.warning("unusable address", why=str(error))
 
     def _list_failed(self) -> None:
         self.post(api.ServersListed(api.ListKind.FAILED, ()))
@@ -283,7 +285,11 @@
         while True:
             await anyio.sleep(HEALTH_EVERY)
             late, self._timers.latest = self._timers.latest, 0
+            try:
+                descriptors = len(os.listdir("/proc/self/fd"))
+            except OSError:  # it takes a descriptor to count them
+                descriptors = self._config.limits.sockets
             _log.info("health", late_ms_most=round(late / 1000, 1), timers=len(self._timers),
                       memory_mb_most=resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024,
-                      descriptors=len(os.listdir("/proc/self/fd")), clients=len(self._clients),
+                      descriptors=descriptors, clients=len(self._clients),
                       connections=len(self._appliances), requests=len(self._requests))
--- a/frostfall/net/appliances.py
+++ b/frostfall/net/appliances.py
@@ -7,17 +7,17 @@
 from collections.abc import Callable
 
 import anyio
-from anyio.abc import ByteStream, SocketAttribute
+from anyio.abc import SocketAttribute, SocketStream
 
 from frostfall import log
 from frostfall.config import Address
 from frostfall.interface import Limits
 from frostfall.net.clock import Clock
+from frostfall.net.streams import ENDED, READ_MOST, close
 from frostfall.protocol.ending import Ending, Progress
 from frostfall.protocol.pg_client import ClientSide, Refusal, State
 
 USER, DATABASE = "web", "orders"  # appliances welcome any user
-READ_MOST = 64 * 1024  # bytes: what one read takes at most
 IDLE_PART = 0.75  # of the settings' time: the appliance closes at that time at the latest, often earlier
 SWEEP = 1.0  # seconds: how often idle connections are looked through; well below any idle time
 
@@ -27,7 +27,7 @@
 class Connection:
     """One connection to an appliance."""
 
-    def __init__(self, address: Address, stream: ByteStream) -> None:
+    def __init__(self, address: Address, stream: SocketStream) -> None:
         """Speak over this stream."""
         self.address = address
         self.stream = stream
@@ -44,8 +44,7 @@
 
     async def close(self) -> None:
         """Close it now, whatever happens to the caller."""
-        with anyio.CancelScope(shield=True):
-            await self.stream.aclose()
+        await close(self.stream)
 
 
 class Attempt:
@@ -82,6 +81,13 @@
     async def attempt(self, attempt: Attempt, address: Address, statement: Callable[[], bytes],
                       deadline: int, done: Callable[[Ending], None]) -> None:
         """Carry one attempt through and tell its end, exactly once; the connection goes back to the pool."""
+        try:
+            await self._attempt(attempt, address, statement, deadline, done)
+        except Exception:
+            _log.exception("end of attempt failed")
+
+    async def _attempt(self, attempt: Attempt, address: Address, statement: Callable[[], bytes],
+                       deadline: int, done: Callable[[Ending], None]) -> None:
         connection: Connection | None = None
         ending = Ending(Progress.NO_CONNECTION, why="failed")
         try:
@@ -114,19 +120,18 @@
     async def _exchange(self, connection: Connection, attempt: Attempt,
                         statement: Callable[[], bytes]) -> Ending:
         machine, stream = connection.machine, connection.stream
+        attempt.progress = Progress.NOT_WRITTEN
+        if not connection.usable:
+            return Ending(Progress.NOT_WRITTEN, why="closed before it was used")
         try:
-            attempt.progress = Progress.NOT_WRITTEN
             data = machine.ask(statement())
-            # Danger: given up inside this write, it is not known how much has gone out: it may have run.
+            # Danger: when the write breaks off, it is not known how much has gone out: it may have run.
             attempt.progress = Progress.WRITTEN
-            try:
-                await stream.send(data)
-            except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
-                return Ending(Progress.NOT_WRITTEN, why=repr(error))
+            await stream.send(data)
             while machine.answer is None:
                 machine.feed(await stream.receive(READ_MOST))
                 attempt.progress = Progress.ANSWERING
-        except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+        except ENDED as error:
             return Ending(attempt.progress, why=repr(error))
         return Ending(attempt.progress, machine.answer, load=machine.load)
 
@@ -157,7 +162,7 @@
                 if machine.state is State.READY:
                     return connection
                 answer, why = machine.answer, "turned away"
-        except (OSError, anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+        except (OSError, *ENDED) as error:
             why = repr(error)
         finally:
             if connection is None or connection.machine.state is not State.READY:
@@ -174,7 +179,7 @@
             with anyio.move_on_after(self._connect_timeout):
                 while machine.state is State.ANSWERED:
                     machine.feed(await connection.stream.receive(READ_MOST))
-        except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
+        except ENDED:
             pass
         finally:
             if machine.reusable:
--- a/frostfall/net/clients.py
+++ b/frostfall/net/clients.py
@@ -6,16 +6,16 @@
 from typing import Protocol
 
 import anyio
-from anyio.abc import ByteStream, SocketListener, TaskGroup
+from anyio.abc import SocketListener, SocketStream, TaskGroup
 
 from frostfall import log
 from frostfall.config import Address
+from frostfall.net.streams import ENDED, READ_MOST, close
 from frostfall.protocol import pg
 from frostfall.protocol.pg_server import Closed, Query, Reply, ServerSide
 
 BACKLOG = 512  # connections: a burst that comes while the one core is busy elsewhere
 PAUSE = 0.05  # seconds: how long accepting rests after an error, such as too few descriptors
-READ_MOST = 64 * 1024  # bytes: what one read takes at most
 
 _log = log.get("clients")
 
@@ -33,7 +33,7 @@
 class Client:
     """One client's connection."""
 
-    def __init__(self, stream: ByteStream, front: Front) -> None:
+    def __init__(self, stream: SocketStream, front: Front) -> None:
         """Serve this stream."""
         self._stream = stream
         self._front = front
@@ -57,8 +57,7 @@
                     group.cancel_scope.cancel()
         finally:
             self._front.left(self)
-            with anyio.CancelScope(shield=True):
-                await self._stream.aclose()
+            await close(self._stream)
 
     def answer(self, data: bytes) -> None:
         """Give the final answer to the query that waits; the next one is then read."""
@@ -121,7 +120,7 @@
                 continue
             try:
                 data = await self._stream.receive(READ_MOST)
-            except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            except ENDED:
                 return
             self._used = anyio.current_time()
             self._machine.feed(data)
@@ -139,7 +138,7 @@
                 else:
                     self._wake = anyio.Event()
                     await self._wake.wait()
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+        except ENDED:
             pass
         group.cancel_scope.cancel()
 
@@ -180,8 +179,8 @@
                 continue
             try:
                 stream = await listener.accept()
-            except OSError as error:
-                _log.warning("cannot accept", why=str(error))
+            except Exception as error:
+                _log.warning("cannot accept", why=repr(error))
                 await anyio.sleep(PAUSE)
                 continue
             client = Client(stream, self._front)
--- a/frostfall/net/discovery.py
+++ b/frostfall/net/discovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 
 import anyio
@@ -9,12 +10,12 @@
 
 from frostfall import log
 from frostfall.config import Address
+from frostfall.net.streams import ENDED, READ_MOST, connected
 from frostfall.protocol.listing import CallFailed, Listing, Watch
 
 WAIT_PART = 0.5  # of the time that the settings allow between questions: how long one call waits for news
 ANSWER_EXTRA = 2.0  # seconds past that wait: discovery works through calls in turn and gives up as late
-CONNECT_TIMEOUT = 1.0  # seconds: a machine that is cut off never accepts
-READ_MOST = 64 * 1024  # bytes: what one read takes at most
+BACK_OFF, BACK_OFF_MOST = 0.2, 4.0  # seconds between watches that fail unasked, doubling, with jitter
 
 _log = log.get("discovery")
 
@@ -23,13 +24,15 @@
     """Runs the watch when asked to; its failure is told, and the next start is the agent's to ask for."""
 
     def __init__(self, address: Address, since: int, ask_within: int,
-                 told: Callable[[Listing], None], failed: Callable[[], None]) -> None:
-        """Watch for what is newer than a version."""
+                 told: Callable[[Listing], None], failed: Callable[[], None], unasked: bool = False) -> None:
+        """Watch for what is newer than a version; where nobody has to ask, again by itself."""
         self._address = address
         self._since: int | None = since
         self._wait = max(ask_within / 1e6 * WAIT_PART, 1.0)
         self._told, self._failed = told, failed
         self._asked = anyio.Event()
+        self._unasked = unasked
+        self._heard = 0  # answers
 
     def ask(self) -> None:
         """Start the watch; one that runs goes on."""
@@ -37,9 +40,12 @@
 
     async def run(self) -> None:
         """Watch whenever it is asked for."""
+        wait = BACK_OFF
         while True:
+            if self._unasked:
+                self._asked.set()
             await self._asked.wait()
-            why = "failed"
+            why, heard = "failed", self._heard
             try:
                 why = await self._watch()
             except Exception:
@@ -47,36 +53,32 @@
             _log.info("watch ended", why=why)
             self._asked = anyio.Event()
             self._failed()
+            if self._unasked:
+                wait = BACK_OFF if self._heard > heard else min(wait * 2, BACK_OFF_MOST)
+                await anyio.sleep(wait * random.uniform(0.5, 1.0))
 
     async def _watch(self) -> str:
-        stream: ByteStream | None = None
         try:
-            with anyio.move_on_after(CONNECT_TIMEOUT):
-                stream = await anyio.connect_tcp(self._address.host, self._address.port)
-            if stream is None:
-                return "no connection in time"
-            watch = Watch(str(self._address))
             while True:
-                answer = await self._call(stream, watch)
-                if isinstance(answer, CallFailed):
-                    return answer.why
-                # Danger: the next call has to be out within 200 ms, whatever the news set off.
-                self._since = answer.generation
-                self._told(answer)
-                if not watch.reusable:
-                    await stream.aclose()
-                    stream = None
-                    with anyio.move_on_after(CONNECT_TIMEOUT):
-                        stream = await anyio.connect_tcp(self._address.host, self._address.port)
-                    if stream is None:
-                        return "no connection in time"
-                    watch = Watch(str(self._address))
-        except (OSError, anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+                async with connected(self._address) as stream:
+                    if (why := await self._calls(stream)) is not None:
+                        return why
+        except (OSError, *ENDED) as error:
             return repr(error)
-        finally:
-            if stream is not None:
-                with anyio.CancelScope(shield=True):
-                    await stream.aclose()
+
+    async def _calls(self, stream: ByteStream) -> str | None:
+        """Call after call on one connection; why the watch ended, or None where only the connection did."""
+        watch = Watch(str(self._address))
+        while True:
+            answer = await self._call(stream, watch)
+            if isinstance(answer, CallFailed):
+                return answer.why
+            # Danger: the next call has to be out within 200 ms, whatever the news set off.
+            self._since = answer.generation
+            self._heard += 1
+            self._told(answer)
+            if not watch.reusable:
+                return None
 
     async def _call(self, stream: ByteStream, watch: Watch) -> Listing | CallFailed:
         with anyio.move_on_after(self._wait + ANSWER_EXTRA):
--- a/frostfall/net/platform.py
+++ b/frostfall/net/platform.py
@@ -13,12 +13,11 @@
 from frostfall import log
 from frostfall.config import Address
 from frostfall.interface import CastVote, RolloutNews, VoteReply
+from frostfall.net.streams import ENDED, READ_MOST, connected
 from frostfall.protocol import news, rpc
 
-CONNECT_TIMEOUT = 1.0  # seconds: a machine that is cut off never accepts
 SILENCE = 3.5  # seconds: a sign of life comes every second
 BACK_OFF, BACK_OFF_MOST = 0.1, 2.0  # seconds between connections that fail, doubling, with jitter
-READ_MOST = 64 * 1024  # bytes: what one read takes at most
 VOTES_MOST = 16  # votes that may wait for an answer; the platform takes a few a second of an agent
 
 _log = log.get("platform")
@@ -26,10 +25,8 @@
 
 @dataclass(slots=True)
 class _Vote:
-    action: CastVote
     done: anyio.Event = field(default_factory=anyio.Event)
     answer: rpc.Result | rpc.Failure | None = None
-    broken: bool = False
 
 
 class Platform:
@@ -71,37 +68,32 @@
                 await anyio.sleep(wait * self._random.uniform(0.5, 1.0))
 
     async def _listen(self) -> str:
-        stream: ByteStream | None = None
         try:
-            with anyio.move_on_after(CONNECT_TIMEOUT):
-                stream = await anyio.connect_tcp(self._address.host, self._address.port)
-            if stream is None:
-                return "no connection in time"
-            lines = rpc.Lines()
-            await stream.send(rpc.call(self._next(), news.LISTEN))
-            self._stream = stream
-            while True:
-                data = b""
-                with anyio.move_on_after(SILENCE):
-                    data = await stream.receive(READ_MOST)
-                if not data:
-                    return "silence"
-                lines.feed(data)
-                while (message := lines.next_message()) is not None:
-                    if isinstance(message, rpc.Unreadable):
-                        return f"unreadable: {message.why}"
-                    self._hear(message)
-        except (OSError, anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+            async with connected(self._address) as stream:
+                await stream.send(rpc.call(self._next(), news.LISTEN))
+                self._stream = stream
+                return await self._read(stream)
+        except (OSError, *ENDED) as error:
             return repr(error)
         finally:
             self._stream = None
-            if stream is not None:
-                with anyio.CancelScope(shield=True):
-                    await stream.aclose()
             for vote in self._out.values():
-                vote.broken = True
                 vote.done.set()
 
+    async def _read(self, stream: ByteStream) -> str:
+        lines = rpc.Lines()
+        while True:
+            data = b""
+            with anyio.move_on_after(SILENCE):
+                data = await stream.receive(READ_MOST)
+            if not data:
+                return "silence"
+            lines.feed(data)
+            while (message := lines.next_message()) is not None:
+                if isinstance(message, rpc.Unreadable):
+                    return f"unreadable: {message.why}"
+                self._hear(message)
+
     def _next(self) -> int:
         self._number += 1
         return self._number
@@ -124,7 +116,7 @@
 
     async def _vote(self, action: CastVote) -> None:
         """Carry one vote through; `reply` follows how far it had come."""
-        vote, number, reply = _Vote(action), self._next(), VoteReply.ERROR
+        vote, number, reply = _Vote(), self._next(), VoteReply.ERROR
         try:
             with anyio.move_on_after(self._vote_timeout):
                 async with self._sending:
@@ -135,8 +127,7 @@
                     reply = VoteReply.UNKNOWN  # from here on it may have been carried out
                     try:
                         await stream.send(rpc.call(number, news.VERDICT, news.vote(action)))
-                    except (anyio.BrokenResourceError, anyio.ClosedResourceError):
-                        reply = VoteReply.ERROR
+                    except ENDED:
                         return
                 await vote.done.wait()
             if isinstance(vote.answer, rpc.Result):
--- /dev/null
+++ b/frostfall/net/streams.py
@@ -0,0 +1,32 @@
+"""Streams: opened within a time, closed whatever happens, and the ways in which one ends."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+from anyio.abc import SocketStream
+
+from frostfall.config import Address
+
+READ_MOST = 64 * 1024  # bytes: what one read takes at most
+CONNECT_TIMEOUT = 1.0  # seconds: a service that is cut off never accepts; appliances have settings
+ENDED = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError)
+
+
+async def close(stream: SocketStream) -> None:
+    """Close it now, whatever happens to the caller."""
+    with anyio.CancelScope(shield=True):
+        await stream.aclose()
+
+
+@asynccontextmanager
+async def connected(address: Address) -> AsyncIterator[SocketStream]:
+    """A connection for as long as the block lasts; TimeoutError where none comes up."""
+    with anyio.fail_after(CONNECT_TIMEOUT):
+        stream = await anyio.connect_tcp(address.host, address.port)
+    try:
+        yield stream
+    finally:
+        await close(stream)
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -228,6 +228,15 @@
             assert set(values) <= {b"old", b"new"}
 
 
+async def test_an_address_that_is_none_is_never_looked_up() -> None:
+    async with listening(Appliance()) as address:
+        odd = instance("s-2", address) | {"hostPort": "somewhere.invalid:5432"}
+        async with serving(configured(instance("s-1", address), odd)) as agent:
+            client = await Client.connect(agent._config.listen)
+            kinds = [(await client.ask(write(f"p{number}", 2000)))[0] for number in range(6)]
+            assert kinds == [b"D"] * 6 and len(agent._addresses) == 1
+
+
 async def test_connections_are_bounded_and_idle_ones_make_room() -> None:
     limits = {"cores": 1.0, "memory_mb": 192, "sockets": 64}  # 20 for clients
     async with listening(Appliance()) as address, serving(
--- a/tests/test_net_appliances.py
+++ b/tests/test_net_appliances.py
@@ -2,21 +2,23 @@
 
 from __future__ import annotations
 
+import socket
 import time
 from collections.abc import Callable
 from dataclasses import replace
 
 import anyio
 import pytest
+from anyio.abc import SocketAttribute
 
 from frostfall.config import Address
 from frostfall.interface import Outcome
-from frostfall.net.appliances import Appliances, Attempt
+from frostfall.net.appliances import Appliances, Attempt, Connection
 from frostfall.net.clock import Clock
 from frostfall.protocol.ending import Ending, Progress
 from frostfall.protocol.pg_client import Row
 from tests.standins import LONG, Appliance, free_port, listening, row
-from tests.support import SETTINGS
+from tests.support import SETTINGS, S
 
 pytestmark = pytest.mark.anyio
 LIMITS = SETTINGS.limits
@@ -161,6 +163,35 @@
         assert appliance.statements == [text]
 
 
+async def test_small_messages_go_out_at_once() -> None:
+    appliances = pool()
+    async with listening(Appliance()) as address:
+        await attempt(appliances, address)
+        connection = appliances._idle[address][0]
+        raw = connection.stream.extra(SocketAttribute.raw_socket)
+        assert raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+
+async def test_a_connection_that_closes_before_it_is_used_proves_that_nothing_ran(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    appliance, appliances = Appliance(), pool()
+    async with listening(appliance) as address:
+        monkeypatch.setattr(Connection, "usable", property(lambda _: False))
+        ending = await attempt(appliances, address)
+        assert (ending.progress, ending.outcome) == (Progress.NOT_WRITTEN, Outcome.UNREACHABLE)
+        assert appliance.statements == [] and len(appliances) == 0
+
+
+async def test_a_fault_in_what_is_told_the_end_stays_with_the_attempt() -> None:
+    def done(_: Ending) -> None:
+        raise ValueError("a fault")
+
+    appliances = pool()
+    async with listening(Appliance()) as address:
+        await appliances.attempt(Attempt(), address, lambda: b"x", appliances._clock.now() + S, done)
+        assert (await attempt(appliances, address)).outcome is Outcome.SUCCESS
+
+
 async def test_a_fault_of_ours_ends_the_attempt_as_one_that_may_have_run() -> None:
     def fault() -> bytes:
         raise ValueError("no statement")
