--- a/frostfall/net/appliances.py
+++ b/frostfall/net/appliances.py
@@ -176,9 +176,10 @@
         """Wait for the end of an answer, then keep the connection for the next request."""
         machine = connection.machine
         try:
-            with anyio.move_on_after(self._connect_timeout):
-                while machine.state is State.ANSWERED:
-                    machine.feed(await connection.stream.receive(READ_MOST))
+            if machine.state is State.ANSWERED:  # most often ReadyForQuery came with the answer
+                with anyio.move_on_after(self._connect_timeout):
+                    while machine.state is State.ANSWERED:
+                        machine.feed(await connection.stream.receive(READ_MOST))
         except ENDED:
             pass
         finally:
