--- a/frostfall/net/agent.py
+++ b/frostfall/net/agent.py
@@ -10,14 +10,14 @@
 from dataclasses import dataclass, field
 
 import anyio
-from anyio.abc import SocketListener, TaskGroup
+from anyio.abc import TaskGroup
 
 from frostfall import interface as api
 from frostfall import log
 from frostfall.brain import Brain
 from frostfall.config import Address, Config, ConfigError, address
 from frostfall.net.appliances import Appliances, Attempt
-from frostfall.net.clients import Client, Clients
+from frostfall.net.clients import Client, Clients, listen
 from frostfall.net.clock import Clock, Timers
 from frostfall.net.discovery import Discovery
 from frostfall.net.peers import Peers
@@ -241,8 +241,9 @@
         """Answer what has been taken, then let `run` return."""
         self._stopping.set()
 
-    async def run(self, ready: Callable[[SocketListener], None] | None = None) -> None:
-        """Serve until stopped."""
+    async def run(self, ready: Callable[[], None] | None = None) -> None:
+        """Serve until stopped; `ready` is called once clients can connect. OSError where they cannot."""
+        listener = await listen(self._config.listen)
         async with anyio.create_task_group() as group:
             self._group = group
             for action in self.brain.start(self.clock.now()):
@@ -260,14 +261,14 @@
             group.start_soon(self._stop)
             gc.collect()
             gc.freeze()  # what the start left stays for good, so that collections need not go through it
-            await self._clients.run(self._config.listen, ready or self._ready)
+            _log.info("listening", address=str(self._config.listen))
+            if ready:
+                ready()
+            await self._clients.run(listener)
             group.cancel_scope.cancel()
         await self._appliances.close()
         _log.info("stopped")
 
-    def _ready(self, listener: SocketListener) -> None:
-        _log.info("listening", address=str(self._config.listen))
-
     async def _stop(self) -> None:
         await self._stopping.wait()
         _log.info("stopping", clients=len(self._clients), requests=len(self._requests))
--- a/frostfall/net/clients.py
+++ b/frostfall/net/clients.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import Protocol
 
 import anyio
@@ -143,6 +142,16 @@
         group.cancel_scope.cancel()
 
 
+async def listen(address: Address) -> SocketListener:
+    """Listen on this address only; OSError where that cannot be."""
+    multi = await anyio.create_tcp_listener(
+        local_host=address.host, local_port=address.port, backlog=BACKLOG)
+    listener = multi.listeners[0]
+    if not isinstance(listener, SocketListener):
+        raise TypeError("no listener for sockets")
+    return listener
+
+
 class Clients:
     """The listener: takes connections in up to a bound and knows those that are open."""
 
@@ -159,14 +168,8 @@
         """How many connections are open."""
         return len(self._open)
 
-    async def run(self, listen: Address, ready: Callable[[SocketListener], None]) -> None:
-        """Listen, and serve each connection in a task of its own."""
-        multi = await anyio.create_tcp_listener(
-            local_host=listen.host, local_port=listen.port, backlog=BACKLOG)
-        listener = multi.listeners[0]
-        if not isinstance(listener, SocketListener):
-            raise TypeError("no listener for sockets")
-        ready(listener)
+    async def run(self, listener: SocketListener) -> None:
+        """Serve each connection in a task of its own, until stopped and all have ended."""
         async with anyio.create_task_group() as group:
             with anyio.CancelScope() as self._accepting:
                 async with listener:
