--- a/frostfall/net/agent.py
+++ b/frostfall/net/agent.py
@@ -261,7 +261,9 @@
             group.start_soon(self._stop)
             gc.collect()
             gc.freeze()  # what the start left stays for good, so that collections need not go through it
-            _log.info("listening", address=str(self._config.listen))
+            limits = self._config.limits
+            _log.info("listening", address=str(self._config.listen), cores=limits.cores,
+                      memory_mb=limits.memory_mb, sockets=limits.sockets)
             if ready:
                 ready()
             await self._clients.run(listener)
