--- a/frostfall/protocol/statement.py
+++ b/frostfall/protocol/statement.py
@@ -11,7 +11,7 @@
     rb"\s*(?:SELECT payload FROM entries WHERE ref = " + _TEXT
     + rb"|INSERT INTO entries \(ref, payload\) VALUES \(" + _TEXT + rb", " + _TEXT + rb"\) RETURNING payload)"
     + rb"\s*/\*([^*]*)\*/\s*;?\s*\Z")
-_PAIR = re.compile(rb"\s*([a-z]+)=([^\s,]+)\s*\Z")
+_PAIR = re.compile(rb"\s*([A-Za-z_][\w.-]*)=([^\s,]*)\s*\Z")
 _ID = re.compile(rb"[0-9a-zA-Z_.:-]{1,64}\Z")
 _NUMBER = re.compile(rb"[0-9]{1,7}\Z")
 
@@ -48,7 +48,7 @@
         found[pair[1]] = pair[2], place + pair.start(2)
         place += len(part) + 1
     for name in (b"id", b"c", b"d"):
-        if name not in found:
+        if name not in found or not found[name][0]:
             return f"a comment without {name.decode()}"
     (request, _), (wait, at) = found[b"id"], found[b"d"]
     if not _ID.match(request):
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -60,6 +60,11 @@
     assert got.known.generation == 41 and got.log_level == "info"
 
 
+def test_the_example_beside_the_code_can_be_used() -> None:
+    path = Path(__file__).parent.parent / "deploy" / "example.json"
+    assert config.load({"BALANCER_CONFIG": str(path)}).listen.port == 15432
+
+
 def test_defaults_and_the_environment() -> None:
     settings = {"ordinal": 0, "nInstances": 1, "grades": [GRADE]}
     environment = {"BALANCER_LISTEN": "127.0.0.1:1", "BALANCER_DISCOVERY": "127.0.0.1:2",
--- a/tests/test_statement.py
+++ b/tests/test_statement.py
@@ -37,6 +37,11 @@
     assert got.waiting(-5) == text.replace(b"d=%d" % got.wait_ms, b"d=1")
 
 
+def test_names_that_are_not_known_pass_on_unchanged() -> None:
+    got = read(READ.replace(b"c=basket", b"c=basket, trace_Id=a/b:7 ,x="))
+    assert got.class_name == "basket" and b", trace_Id=a/b:7 ,x=,d=5 " in got.waiting(5)
+
+
 def test_a_large_value_and_quotes_inside() -> None:
     big = b"INSERT INTO entries (ref, payload) VALUES ('a''b', '\\x%b') RETURNING payload /* id=1,c=o,d=9 */"
     assert read(big % (b"ab" * 65536)).key == "a''b"
