--- a/frostfall/net/clients.py
+++ b/frostfall/net/clients.py
@@ -121,6 +121,9 @@
                 data = await self._stream.receive(READ_MOST)
             except ENDED:
                 return
+            if self._last:
+                # Danger: a query taken now would be cut off; unread, its client sends it once more.
+                return
             self._used = anyio.current_time()
             self._machine.feed(data)
             self._advance()
--- /dev/null
+++ b/tests/test_net_clients.py
@@ -0,0 +1,87 @@
+"""A client's connection, over a stream of our own."""
+
+from __future__ import annotations
+
+from typing import Any, cast
+
+import anyio
+import pytest
+from anyio.abc import SocketStream
+
+from frostfall.net.clients import Client
+from frostfall.protocol import pg, pg_server
+from tests.standins import LONG, read
+
+pytestmark = pytest.mark.anyio
+
+
+class Stream:
+    """Gives what it is told to give; keeps what is written."""
+
+    def __init__(self) -> None:
+        self.give, self.take = anyio.create_memory_object_stream[bytes](10)
+        self.written, self.closed = b"", False
+
+    async def receive(self, _: int) -> bytes:
+        return await self.take.receive()
+
+    async def send(self, data: bytes) -> None:
+        self.written += data
+
+    async def aclose(self) -> None:
+        self.closed = True
+
+
+class Front:
+    """Takes queries and answers those that it is told to."""
+
+    def __init__(self) -> None:
+        self.taken, self.gone = list[bytes](), 0
+
+    def take(self, _: Client, text: bytes) -> str | None:
+        self.taken.append(text)
+        return None
+
+    def left(self, _: Client) -> None:
+        self.gone += 1
+
+
+async def start(group: Any) -> tuple[Client, Stream, Front]:
+    stream, front = Stream(), Front()
+    client = Client(cast(SocketStream, stream), front)
+    group.start_soon(client.run)
+    await stream.give.send(pg.startup(user="web"))
+    await anyio.wait_all_tasks_blocked()
+    assert stream.written == pg_server.WELCOME
+    return client, stream, front
+
+
+async def test_a_query_that_crosses_the_close_is_not_taken() -> None:
+    with anyio.fail_after(LONG):
+        async with anyio.create_task_group() as group:
+            client, stream, front = await start(group)
+            client.drain()
+            stream.give.send_nowait(pg.frame(b"Q", read("a1") + b"\0"))
+    assert front.taken == [] and stream.closed and front.gone == 1
+
+
+async def test_a_draining_connection_ends_with_its_answer() -> None:
+    with anyio.fail_after(LONG):
+        async with anyio.create_task_group() as group:
+            client, stream, front = await start(group)
+            stream.give.send_nowait(pg.frame(b"Q", read("a1") + b"\0"))
+            await anyio.wait_all_tasks_blocked()
+            assert front.taken == [read("a1")]
+            client.drain()
+            await anyio.wait_all_tasks_blocked()
+            assert not stream.closed
+            client.answer(pg_server.failed())
+    assert stream.written.endswith(pg_server.failed()) and stream.closed
+
+
+async def test_terminate_ends_the_connection() -> None:
+    with anyio.fail_after(LONG):
+        async with anyio.create_task_group() as group:
+            _, stream, front = await start(group)
+            stream.give.send_nowait(pg.TERMINATE)
+    assert stream.closed and front.gone == 1 and front.taken == []
