--- a/frostfall/net/agent.py
+++ b/frostfall/net/agent.py
@@ -22,6 +22,7 @@
 from frostfall.net.discovery import Discovery
 from frostfall.net.peers import Peers
 from frostfall.net.platform import Platform
+from frostfall.net.streams import Sockets
 from frostfall.protocol import entries, statement
 from frostfall.protocol.ending import Ending
 from frostfall.protocol.listing import Listing
@@ -63,9 +64,9 @@
         self._classes = {kind.name for kind in config.settings.classes}
         self._addresses: dict[int, Address] = {}
         self._group: TaskGroup | None = None
-        half = (config.limits.sockets - SPARE_SOCKETS) // 2
-        self._clients = Clients(self, half)
-        self._appliances = Appliances(self.clock, config.settings.limits, half)
+        sockets = Sockets(config.limits.sockets - SPARE_SOCKETS)
+        self._appliances = Appliances(self.clock, config.settings.limits, sockets)
+        self._clients = Clients(self, sockets, sockets.most * 3 // 4, self._appliances.evict)
         self._discovery = Discovery(config.discovery, config.known.generation,
                                     config.settings.rules.ask_within, self._listed, self._list_failed,
                                     unasked=not config.settings.must_subscribe)
--- a/frostfall/net/appliances.py
+++ b/frostfall/net/appliances.py
@@ -13,7 +13,7 @@
 from frostfall.config import Address
 from frostfall.interface import Limits
 from frostfall.net.clock import Clock
-from frostfall.net.streams import ENDED, READ_MOST, close
+from frostfall.net.streams import ENDED, READ_MOST, Sockets, close
 from frostfall.protocol.ending import Ending, Progress
 from frostfall.protocol.pg_client import ClientSide, Refusal, State
 
@@ -65,12 +65,12 @@
 class Appliances:
     """The pool: by address, the connections that wait for a request."""
 
-    def __init__(self, clock: Clock, limits: Limits, most: int) -> None:
-        """Hold at most so many connections."""
+    def __init__(self, clock: Clock, limits: Limits, sockets: Sockets) -> None:
+        """Hold as many connections as there are sockets."""
         self._clock = clock
         self._connect_timeout = limits.connect_timeout / 1e6
         self._idle_most = int(limits.connection_idle * IDLE_PART)
-        self._most = most
+        self._sockets = sockets
         self._count = 0
         self._idle: defaultdict[Address, list[Connection]] = defaultdict(list)
 
@@ -145,9 +145,9 @@
         return None
 
     async def _open(self, address: Address) -> Connection | Ending:
-        if self._count >= self._most and not await self._evict():
+        if self._sockets.full and not await self.evict():
             return Ending(Progress.NO_CONNECTION, why="no connection is free")
-        self._count += 1
+        self._hold(1)
         connection: Connection | None = None
         answer = None
         why = "no connection in time"
@@ -166,7 +166,7 @@
             why = repr(error)
         finally:
             if connection is None or connection.machine.state is not State.READY:
-                self._count -= 1
+                self._hold(-1)
                 if connection is not None:
                     await connection.close()
         refusal = answer if isinstance(answer, Refusal) else None
@@ -190,10 +190,14 @@
                 await self._drop(connection)
 
     async def _drop(self, connection: Connection) -> None:
-        self._count -= 1
+        self._hold(-1)
         await connection.close()
 
-    async def _evict(self) -> bool:
+    def _hold(self, more: int) -> None:
+        self._count += more
+        self._sockets.used += more
+
+    async def evict(self) -> bool:
         """Close the connection that has been idle for longest; False where none is."""
         oldest = min((each[0] for each in self._idle.values() if each),
                      key=lambda each: each.idle_since, default=None)
--- a/frostfall/net/clients.py
+++ b/frostfall/net/clients.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 import anyio
@@ -9,12 +10,13 @@
 
 from frostfall import log
 from frostfall.config import Address
-from frostfall.net.streams import ENDED, READ_MOST, close
-from frostfall.protocol import pg
+from frostfall.net.streams import ENDED, READ_MOST, Sockets, close
+from frostfall.protocol import pg, pg_server
 from frostfall.protocol.pg_server import Closed, Query, Reply, ServerSide
 
 BACKLOG = 512  # connections: a burst that comes while the one core is busy elsewhere
-PAUSE = 0.05  # seconds: how long accepting rests after an error, such as too few descriptors
+PAUSE = 0.05  # seconds: how long accepting rests after an error, or while nothing can be closed to make room
+FRESH = 5.0  # seconds: a new connection's first request comes with it or soon after
 
 _log = log.get("clients")
 
@@ -43,6 +45,7 @@
         self._advancing = False
         self._last = False  # whether the connection ends once what is to be said is said
         self._used = anyio.current_time()
+        self._served = False
         self.request: str | None = None  # the request that waits for its answer
         self.draining = False
 
@@ -61,6 +64,7 @@
     def answer(self, data: bytes) -> None:
         """Give the final answer to the query that waits; the next one is then read."""
         self.request = None
+        self._served = True
         self._machine.answered()
         self._say(data, last=self.draining and not self._machine.buffered)
         self._idle.set()
@@ -72,12 +76,26 @@
         """Whether nothing is under way: no answer is owed and no query half read."""
         return not (self._machine.busy or self._machine.buffered or self._last)
 
-    def rank(self) -> tuple[bool, float]:
-        """The order in which idle connections are closed: used longest ago first, new ones last."""
-        return not self._machine.started, self._used
+    @property
+    def spare(self) -> bool:
+        """Whether it is idle and may be closed before its time."""
+        # Danger: a client sends a request that crossed a close once more and not again. Closed before it has
+        # got an answer, the connection that carries it would lose it.
+        return self.idle and (self._served or anyio.current_time() - self._used > FRESH)
+
+    @property
+    def used(self) -> float:
+        """When it last brought something."""
+        return self._used
 
     def drain(self) -> None:
-        """End once the answer is given, or at once where none is owed."""
+        """End once the answer is given, or at once where it may be closed."""
+        self.draining = True
+        if self.spare:
+            self.end()
+
+    def end(self) -> None:
+        """End at once where no answer is owed."""
         self.draining = True
         if self.idle:
             self._say(b"", last=True)
@@ -100,6 +118,7 @@
         while (event := self._machine.next_event()) is not None:
             match event:
                 case Reply(data):
+                    self._served = self._served or data == pg_server.EMPTY
                     self._say(data)
                 case Query(text):
                     if fault := self._front.take(self, text):
@@ -158,10 +177,13 @@
 class Clients:
     """The listener: takes connections in up to a bound and knows those that are open."""
 
-    def __init__(self, front: Front, most: int) -> None:
-        """Hold at most so many connections."""
+    def __init__(self, front: Front, sockets: Sockets, most: int,
+                 spare: Callable[[], Awaitable[bool]]) -> None:
+        """Hold at most so many connections, for which `spare` may close one of another use."""
         self._front = front
+        self._sockets = sockets
         self._most = most
+        self._spare = spare
         self._open: set[Client] = set()
         self._room = anyio.Event()
         self._draining = False
@@ -180,7 +202,7 @@
 
     async def _accept(self, listener: SocketListener, group: TaskGroup) -> None:
         while True:
-            if len(self._open) >= self._most:
+            if self._sockets.full or len(self._open) >= self._most:
                 await self._make_room()
                 continue
             try:
@@ -192,6 +214,7 @@
             client = Client(stream, self._front)
             client.draining = self._draining
             self._open.add(client)
+            self._sockets.used += 1
             group.start_soon(self._serve, client)
 
     async def _serve(self, client: Client) -> None:
@@ -201,18 +224,22 @@
             _log.exception("connection failed")
         finally:
             self._open.discard(client)
+            self._sockets.used -= 1
             self._room.set()
 
     async def _make_room(self) -> None:
         # Between requests a connection may be closed; those that wait for an answer stay.
+        if len(self._open) < self._most and await self._spare():
+            return
         self._room = anyio.Event()
-        idle = [client for client in self._open if client.idle]
+        idle = [client for client in self._open if client.spare]
         if idle:
-            min(idle, key=Client.rank).drain()
-        await self._room.wait()
+            min(idle, key=lambda client: client.used).end()
+        with anyio.move_on_after(PAUSE):
+            await self._room.wait()
 
     def drain(self) -> None:
-        """From now on connections end with their answer, and those that wait for none end at once."""
+        """From now on connections end with their answer, and those that have had one end at once."""
         self._draining = True
         for client in self._open:
             client.drain()
@@ -221,4 +248,6 @@
         """Take in no more connections; `run` returns once the open ones have ended."""
         if self._accepting:
             self._accepting.cancel()
-        self.drain()
+        self._draining = True
+        for client in self._open:
+            client.end()
--- a/frostfall/net/streams.py
+++ b/frostfall/net/streams.py
@@ -15,6 +15,19 @@
 ENDED = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError)
 
 
+class Sockets:
+    """The descriptors that clients and appliances share."""
+
+    def __init__(self, most: int) -> None:
+        """So many at most."""
+        self.most, self.used = most, 0
+
+    @property
+    def full(self) -> bool:
+        """Whether another needs one of these closed first."""
+        return self.used >= self.most
+
+
 async def close(stream: SocketStream) -> None:
     """Close it now, whatever happens to the caller."""
     with anyio.CancelScope(shield=True):
--- a/frostfall/protocol/pg_server.py
+++ b/frostfall/protocol/pg_server.py
@@ -57,11 +57,6 @@
         """Bytes that wait to be read out."""
         return len(self._buffer)
 
-    @property
-    def started(self) -> bool:
-        """Whether the startup is through."""
-        return self._started
-
     @property
     def busy(self) -> bool:
         """Whether a query waits for its answer."""
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -8,6 +8,7 @@
 import pytest
 from anyio.abc import SocketStream
 
+from frostfall.net import clients as driver
 from frostfall.net.clients import Client
 from frostfall.protocol import pg, pg_server
 from tests.standins import LONG, read
@@ -60,7 +61,7 @@
     with anyio.fail_after(LONG):
         async with anyio.create_task_group() as group:
             client, stream, front = await start(group)
-            client.drain()
+            client.end()
             stream.give.send_nowait(pg.frame(b"Q", read("a1") + b"\0"))
     assert front.taken == [] and stream.closed and front.gone == 1
 
@@ -85,3 +86,21 @@
             _, stream, front = await start(group)
             stream.give.send_nowait(pg.TERMINATE)
     assert stream.closed and front.gone == 1 and front.taken == []
+
+
+async def test_a_connection_without_an_answer_yet_is_not_closed_to_make_room(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    with anyio.fail_after(LONG):
+        async with anyio.create_task_group() as group:
+            client, stream, front = await start(group)
+            assert client.idle and not client.spare
+            client.drain()
+            await anyio.wait_all_tasks_blocked()
+            assert not stream.closed
+            monkeypatch.setattr(driver, "FRESH", -1.0)
+            assert client.spare  # it has brought nothing for long
+            stream.give.send_nowait(pg.frame(b"Q", read("a1") + b"\0"))
+            await anyio.wait_all_tasks_blocked()
+            assert front.taken == [read("a1")] and not client.spare
+            client.answer(pg_server.failed())
+    assert stream.closed
