--- a/frostfall/net/clients.py
+++ b/frostfall/net/clients.py
@@ -16,6 +16,7 @@
 
 BACKLOG = 512  # connections: a burst that comes while the one core is busy elsewhere
 PAUSE = 0.05  # seconds: how long accepting rests after an error, or while nothing can be closed to make room
+GLIMPSE = 0.002  # seconds: some turns of the loop, in which what has been read comes through
 FRESH = 5.0  # seconds: a new connection's first request comes with it or soon after
 
 _log = log.get("clients")
@@ -43,7 +44,9 @@
         self._wake = anyio.Event()
         self._idle = anyio.Event()
         self._advancing = False
-        self._last = False  # whether the connection ends once what is to be said is said
+        self._last = False  # whether the connection is to end once what is to be said is said
+        self._finished = False  # whether reading has ended for that
+        self._reading: anyio.CancelScope | None = None
         self._used = anyio.current_time()
         self._served = False
         self.request: str | None = None  # the request that waits for its answer
@@ -54,8 +57,10 @@
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(self._write, group)
-                await self._read()
-                if not self._last:  # the client has gone, so nobody is left to write to
+                if await self._read():
+                    self._finished = True
+                    self._wake.set()
+                else:  # the client has gone, so nobody is left to write to
                     group.cancel_scope.cancel()
         finally:
             self._front.left(self)
@@ -102,7 +107,10 @@
 
     def _say(self, data: bytes, last: bool = False) -> None:
         self._out += data
-        self._last = self._last or last
+        if last:
+            self._last = True
+            if self._reading:
+                self._reading.cancel()
         self._wake.set()
 
     def _advance(self) -> None:
@@ -130,22 +138,44 @@
                         _log.info("malformed input", why=why.value)
                     self._say(data, last=True)
 
-    async def _read(self) -> None:
-        while not self._last:
-            if self._machine.busy and self._machine.buffered > READ_MOST:
+    async def _read(self) -> bool:
+        """Read until the connection is to end; False where the client has gone."""
+        while True:
+            if self._last and not (data := await self._glimpse()):
+                return True
+            if not self._last and self._machine.busy and self._machine.buffered > READ_MOST:
                 self._idle = anyio.Event()  # a client that sends ahead waits for its answers
                 await self._idle.wait()
                 continue
-            try:
-                data = await self._stream.receive(READ_MOST)
-            except ENDED:
-                return
-            if self._last:
-                # Danger: a query taken now would be cut off; unread, its client sends it once more.
-                return
+            if not self._last:
+                data = b""
+                try:
+                    with anyio.CancelScope() as self._reading:
+                        data = await self._stream.receive(READ_MOST)
+                except ENDED:
+                    return False
+                finally:
+                    self._reading = None
+                if not data:
+                    continue
+            self._last = False
             self._used = anyio.current_time()
             self._machine.feed(data)
             self._advance()
+            if self.draining and self.spare:
+                self._last = True
+
+    async def _glimpse(self) -> bytes:
+        """What has been read already, or comes in this moment, on a connection that is to end."""
+        # Danger: a query that was read is taken, and lost if the connection ends. One that was not read when
+        # the connection closes is sent once more by its client.
+        if not self._machine.closed:
+            try:
+                with anyio.move_on_after(GLIMPSE):
+                    return await self._stream.receive(READ_MOST)
+            except ENDED:
+                pass
+        return b""
 
     async def _write(self, group: TaskGroup) -> None:
         try:
@@ -154,14 +184,13 @@
                     data = bytes(self._out)
                     self._out.clear()
                     await self._stream.send(data)
-                elif self._last:
+                elif self._finished:
                     break
                 else:
                     self._wake = anyio.Event()
                     await self._wake.wait()
         except ENDED:
-            pass
-        group.cancel_scope.cancel()
+            group.cancel_scope.cancel()
 
 
 async def listen(address: Address) -> SocketListener:
--- a/frostfall/protocol/pg_server.py
+++ b/frostfall/protocol/pg_server.py
@@ -57,6 +57,11 @@
         """Bytes that wait to be read out."""
         return len(self._buffer)
 
+    @property
+    def closed(self) -> bool:
+        """Whether the last word has been given."""
+        return self._closed
+
     @property
     def busy(self) -> bool:
         """Whether a query waits for its answer."""
