--- a/frostfall/net/agent.py
+++ b/frostfall/net/agent.py
@@ -30,7 +30,7 @@
 from frostfall.protocol.pg_client import Row
 from frostfall.protocol.pg_server import failed, refused
 
-SPARE_SOCKETS = 24  # descriptors for all that is neither client nor appliance: logs, peers, listeners
+SPARE_SOCKETS = 32  # descriptors: a dozen of our own, a crowd to be refused, and some that are closing
 LINGER = 0.7  # seconds after the order to stop in which new connections may still come, by the protocol
 HEALTH_EVERY = 5.0  # seconds between log lines on the agent's own health
 
--- a/frostfall/net/appliances.py
+++ b/frostfall/net/appliances.py
@@ -19,6 +19,7 @@
 
 USER, DATABASE = "web", "orders"  # appliances welcome any user
 IDLE_PART = 0.75  # of the settings' time: the appliance closes at that time at the latest, often earlier
+PAUSE = 0.005  # seconds between looks for a free socket; answers take some tens of these
 SWEEP = 1.0  # seconds: how often idle connections are looked through; well below any idle time
 
 _log = log.get("appliances")
@@ -145,7 +146,10 @@
         return None
 
     async def _open(self, address: Address) -> Connection | Ending:
-        if self._sockets.full and not await self.evict():
+        with anyio.move_on_after(self._connect_timeout):
+            while self._sockets.full and not await self.evict():
+                await anyio.sleep(PAUSE)
+        if self._sockets.full:
             return Ending(Progress.NO_CONNECTION, why="no connection is free")
         self._hold(1)
         connection: Connection | None = None
--- a/frostfall/net/clients.py
+++ b/frostfall/net/clients.py
@@ -15,7 +15,8 @@
 from frostfall.protocol.pg_server import Closed, Query, Reply, ServerSide
 
 BACKLOG = 512  # connections: a burst that comes while the one core is busy elsewhere
-PAUSE = 0.05  # seconds: how long accepting rests after an error, or while nothing can be closed to make room
+PAUSE = 0.05  # seconds: how long accepting rests after an error, or with a crowd that waits to be refused
+CROWD_MOST = 8  # connections beyond the bound that are open at once, only to be refused
 GLIMPSE = 0.002  # seconds: some turns of the loop, in which what has been read comes through
 FRESH = 5.0  # seconds: a new connection's first request comes with it or soon after
 
@@ -35,8 +36,9 @@
 class Client:
     """One client's connection."""
 
-    def __init__(self, stream: SocketStream, front: Front) -> None:
-        """Serve this stream."""
+    def __init__(self, stream: SocketStream, front: Front, crowded: bool = False) -> None:
+        """Serve this stream; a crowded one gets one answer, a refusal."""
+        self.crowded = crowded
         self._stream = stream
         self._front = front
         self._machine = ServerSide()
@@ -128,6 +130,8 @@
                 case Reply(data):
                     self._served = self._served or data == pg_server.EMPTY
                     self._say(data)
+                case Query() if self.crowded:
+                    self.answer(pg_server.refused(0))
                 case Query(text):
                     if fault := self._front.take(self, text):
                         event = self._machine.refuse(pg.Malformed.TEXT, fault)
@@ -215,6 +219,7 @@
         self._spare = spare
         self._open: set[Client] = set()
         self._room = anyio.Event()
+        self._crowd = 0
         self._draining = False
         self._accepting: anyio.CancelScope | None = None
 
@@ -231,8 +236,10 @@
 
     async def _accept(self, listener: SocketListener, group: TaskGroup) -> None:
         while True:
-            if self._sockets.full or len(self._open) >= self._most:
-                await self._make_room()
+            if self._crowd >= CROWD_MOST:
+                self._room = anyio.Event()
+                with anyio.move_on_after(PAUSE):
+                    await self._room.wait()
                 continue
             try:
                 stream = await listener.accept()
@@ -240,8 +247,11 @@
                 _log.warning("cannot accept", why=repr(error))
                 await anyio.sleep(PAUSE)
                 continue
-            client = Client(stream, self._front)
-            client.draining = self._draining
+            # Danger: a request counts as taken while its connection still waits to be accepted. So none is
+            # left waiting: where there is no room, its first query is refused unseen.
+            client = Client(stream, self._front, crowded=not await self._make_room())
+            client.draining = self._draining or client.crowded
+            self._crowd += client.crowded
             self._open.add(client)
             self._sockets.used += 1
             group.start_soon(self._serve, client)
@@ -254,18 +264,19 @@
         finally:
             self._open.discard(client)
             self._sockets.used -= 1
+            self._crowd -= client.crowded
             self._room.set()
 
-    async def _make_room(self) -> None:
-        # Between requests a connection may be closed; those that wait for an answer stay.
+    async def _make_room(self) -> bool:
+        """Whether there is room for one more, after closing something idle if need be."""
+        if not self._sockets.full and len(self._open) < self._most:
+            return True
         if len(self._open) < self._most and await self._spare():
-            return
-        self._room = anyio.Event()
+            return True
         idle = [client for client in self._open if client.spare]
         if idle:
             min(idle, key=lambda client: client.used).end()
-        with anyio.move_on_after(PAUSE):
-            await self._room.wait()
+        return bool(idle)
 
     def drain(self) -> None:
         """From now on connections end with their answer, and those that have had one end at once."""
