--- a/frostfall/net/clients.py
+++ b/frostfall/net/clients.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from typing import Protocol
 
 import anyio
-from anyio.abc import SocketListener, SocketStream, TaskGroup
+from anyio.abc import SocketAttribute, SocketListener, SocketStream, TaskGroup
 
 from frostfall import log
 from frostfall.config import Address
@@ -17,7 +19,6 @@
 BACKLOG = 512  # connections: a burst that comes while the one core is busy elsewhere
 PAUSE = 0.05  # seconds: how long accepting rests after an error, or with a crowd that waits to be refused
 CROWD_MOST = 8  # connections beyond the bound that are open at once, only to be refused
-GLIMPSE = 0.002  # seconds: some turns of the loop, in which what has been read comes through
 FRESH = 5.0  # seconds: a new connection's first request comes with it or soon after
 
 _log = log.get("clients")
@@ -48,7 +49,6 @@
         self._advancing = False
         self._last = False  # whether the connection is to end once what is to be said is said
         self._finished = False  # whether reading has ended for that
-        self._reading: anyio.CancelScope | None = None
         self._used = anyio.current_time()
         self._served = False
         self.request: str | None = None  # the request that waits for its answer
@@ -74,9 +74,8 @@
         self._served = True
         self._machine.answered()
         self._say(data, last=self.draining and not self._machine.buffered)
+        self._advance()
         self._idle.set()
-        if not self._last:
-            self._advance()
 
     @property
     def idle(self) -> bool:
@@ -109,10 +108,12 @@
 
     def _say(self, data: bytes, last: bool = False) -> None:
         self._out += data
-        if last:
+        if last and not self._last:
+            # Danger: a query that was read is taken, and lost if the connection ends; one that was not read
+            # is sent once more by its client. So reading ends first; what has come by now comes through.
             self._last = True
-            if self._reading:
-                self._reading.cancel()
+            with suppress(OSError):
+                self._stream.extra(SocketAttribute.raw_socket).shutdown(socket.SHUT_RD)
         self._wake.set()
 
     def _advance(self) -> None:
@@ -144,42 +145,28 @@
 
     async def _read(self) -> bool:
         """Read until the connection is to end; False where the client has gone."""
-        while True:
-            if self._last and not (data := await self._glimpse()):
-                return True
-            if not self._last and self._machine.busy and self._machine.buffered > READ_MOST:
-                self._idle = anyio.Event()  # a client that sends ahead waits for its answers
-                await self._idle.wait()
+        while not self._machine.closed:
+            if self._machine.busy and self._machine.buffered > READ_MOST:
+                await self._answered()  # a client that sends ahead waits for its answers
                 continue
-            if not self._last:
-                data = b""
-                try:
-                    with anyio.CancelScope() as self._reading:
-                        data = await self._stream.receive(READ_MOST)
-                except ENDED:
+            try:
+                data = await self._stream.receive(READ_MOST)
+            except ENDED:
+                if not self._last:
                     return False
-                finally:
-                    self._reading = None
-                if not data:
-                    continue
-            self._last = False
+                while self._machine.busy:
+                    await self._answered()
+                return True
             self._used = anyio.current_time()
             self._machine.feed(data)
             self._advance()
             if self.draining and self.spare:
-                self._last = True
+                self._say(b"", last=True)
+        return True
 
-    async def _glimpse(self) -> bytes:
-        """What has been read already, or comes in this moment, on a connection that is to end."""
-        # Danger: a query that was read is taken, and lost if the connection ends. One that was not read when
-        # the connection closes is sent once more by its client.
-        if not self._machine.closed:
-            try:
-                with anyio.move_on_after(GLIMPSE):
-                    return await self._stream.receive(READ_MOST)
-            except ENDED:
-                pass
-        return b""
+    async def _answered(self) -> None:
+        self._idle = anyio.Event()
+        await self._idle.wait()
 
     async def _write(self, group: TaskGroup) -> None:
         try:
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from typing import Any, cast
 
 import anyio
@@ -26,6 +27,13 @@
     async def receive(self, _: int) -> bytes:
         return await self.take.receive()
 
+    def extra(self, _: Any) -> Stream:
+        return self
+
+    def shutdown(self, how: int) -> None:
+        assert how == socket.SHUT_RD
+        self.give.close()  # what it holds still comes through
+
     async def send(self, data: bytes) -> None:
         self.written += data
 
@@ -61,8 +69,8 @@
     with anyio.fail_after(LONG):
         async with anyio.create_task_group() as group:
             client, stream, front = await start(group)
-            client.end()
             stream.give.send_nowait(pg.frame(b"Q", read("a1") + b"\0"))
+            client.end()
             while not front.taken:
                 await anyio.sleep(0)
             assert front.taken == [read("a1")] and not stream.closed
@@ -77,6 +85,7 @@
             client.drain()
             for count in (1, 2, 3):
                 stream.give.send_nowait(pg.frame(b"Q", read(f"a{count}") + b"\0"))
+            for count in (1, 2, 3):
                 while len(front.taken) < count:
                     await anyio.sleep(0)
                 client.answer(pg_server.failed())
