--- a/frostfall/config.py
+++ b/frostfall/config.py
@@ -11,12 +11,11 @@
 import msgspec
 
 from frostfall import interface as api
+from frostfall import log
 from frostfall.protocol import news
 from frostfall.protocol.listing import Listing
 from frostfall.wirehost import codec
 
-LOG_LEVELS = ("debug", "info", "warning", "error")
-
 
 class ConfigError(Exception):
     """The configuration cannot be used; the message names the faulty key."""
@@ -34,13 +33,12 @@
         return f"{self.host}:{self.port}"
 
 
-@dataclass(frozen=True, slots=True)
-class Limits:
+class Limits(msgspec.Struct, frozen=True):
     """What the machine allows."""
 
-    cores: float
-    memory_mb: int
-    sockets: int
+    cores: float = 1.0
+    memory_mb: int = 192
+    sockets: int = 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,12 +60,6 @@
     log_level: str
 
 
-class _Limits(msgspec.Struct):
-    cores: float = 1.0
-    memory_mb: int = 192
-    sockets: int = 1024
-
-
 class _Platform(msgspec.Struct):
     address: str
     news: dict[str, Any] | None = None
@@ -79,7 +71,7 @@
     listen: str = ""
     discovery: str = ""
     seed: str | int = 0
-    limits: _Limits = msgspec.field(default_factory=_Limits)
+    limits: Limits = msgspec.field(default_factory=Limits)
     peer_listen: str = ""
     peers: list[str] = []
     peers_all: str = ""
@@ -150,14 +142,14 @@
             raise ConfigError(f"release_api.news: {state}")
         told = state
     level = environment.get("FROSTFALL_LOG", "info")
-    if level not in LOG_LEVELS:
-        raise ConfigError(f"FROSTFALL_LOG: {level!r} is none of {', '.join(LOG_LEVELS)}")
+    if level not in log.LEVELS:
+        raise ConfigError(f"FROSTFALL_LOG: {level!r} is none of {', '.join(log.LEVELS)}")
     return Config(
         name=raw.name or environment.get("BALANCER_NAME", "agent"),
         listen=address(raw.listen or environment.get("BALANCER_LISTEN", ""), "listen"),
         discovery=address(raw.discovery or environment.get("BALANCER_DISCOVERY", ""), "discovery"),
         seed=_seed(raw.seed),
-        limits=Limits(raw.limits.cores, raw.limits.memory_mb, raw.limits.sockets),
+        limits=raw.limits,
         peer_listen=address(raw.peer_listen, "peer_listen") if raw.peer_listen else None,
         peers=peers,
         peers_all=address(raw.peers_all, "peers_all") if raw.peers_all else None,
--- a/frostfall/log.py
+++ b/frostfall/log.py
@@ -7,7 +7,7 @@
 
 import structlog
 
-_LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
+LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
 
 
 def configure(level: str, name: str) -> None:
@@ -20,7 +20,7 @@
             structlog.processors.format_exc_info,
             structlog.processors.JSONRenderer(),
         ],
-        wrapper_class=structlog.make_filtering_bound_logger(_LEVELS[level]),
+        wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
         logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
         cache_logger_on_first_use=True)
     structlog.contextvars.bind_contextvars(agent=name)
--- a/frostfall/net/agent.py
+++ b/frostfall/net/agent.py
@@ -71,7 +71,7 @@
                                     config.settings.rules.ask_within, self._listed, self._list_failed,
                                     unasked=not config.settings.must_subscribe)
         rollout = config.settings.rollout
-        self._platform = Platform(config.platform, rollout.vote_timeout, config.seed,
+        self._platform = Platform(config.platform, rollout.vote_timeout,
                                   self.post) if config.platform and rollout else None
         self._peers = Peers(config.peer_listen, config.peers, config.peers_all,
                             self._heard) if config.peer_listen and config.settings.limits.peers else None
@@ -175,12 +175,12 @@
 
     def _send(self, action: api.SendAttempt) -> None:
         request = self._requests.get(action.request)
-        now = self.clock.now()
+        began = self.clock.now()
         if request is None or request.done or self._group is None:
             _log.error("attempt for a request that has ended", request=action.request)
             return
-        attempt, number, began = Attempt(), len(request.attempts), now
-        deadline = min(now + action.timeout, request.deadline) if action.timeout else request.deadline
+        attempt, number = Attempt(), len(request.attempts)
+        deadline = min(began + action.timeout, request.deadline) if action.timeout else request.deadline
         request.attempts.append(attempt)
         target = self._addresses.get(action.server)
         if target is None:
@@ -204,7 +204,7 @@
         if outcome is not api.Outcome.SUCCESS:
             _log.debug("attempt ended", request=name, server=action.server, outcome=outcome.name,
                        progress=ending.progress.name, why=ending.why)
-        if isinstance(ending.answer, Row) and not request.done:
+        if isinstance(ending.answer, Row):
             self._finish(name, ending.answer.data + READY)
         elapsed = self.clock.now() - began
         self.post(api.AttemptEnded(name, number, action.server, outcome, elapsed, request.done,
@@ -214,21 +214,20 @@
     # ---- what the other drivers tell ---------------------------------------------------------------
 
     def _listed(self, listing: Listing) -> None:
-        kind = api.ListKind.COMPLETE if listing.reset else api.ListKind.CHANGES
-        self._keep(listing)
-        self.post(entries.listed(listing, kind))
+        self._keep(listing, api.ListKind.COMPLETE if listing.reset else api.ListKind.CHANGES)
 
-    def _keep(self, listing: Listing) -> None:
-        if listing.reset:
+    def _keep(self, listing: Listing, kind: api.ListKind) -> None:
+        event = entries.listed(listing, kind)
+        if kind is not api.ListKind.CHANGES:
             self._addresses.clear()
-        for entry in listing.instances:
-            number = entries.server_id(entry.instance_id)
-            self._addresses.pop(number, None)
-            if entry.lifecycle != entries.REMOVED:
+        for entry, server in zip(listing.instances, event.servers):
+            self._addresses.pop(server.id, None)
+            if server.availability is not api.Availability.REMOVED:
                 try:
-                    self._addresses[number] = address(entry.host_port, entry.instance_id)
+                    self._addresses[server.id] = address(entry.host_port, entry.instance_id)
                 except ConfigError as error:  # what is sent there then never goes out
                     _log.warning("unusable address", why=str(error))
+        self.post(event)
 
     def _list_failed(self) -> None:
         self.post(api.ServersListed(api.ListKind.FAILED, ()))
@@ -249,8 +248,7 @@
             self._group = group
             for action in self.brain.start(self.clock.now()):
                 self._carry_out(action)
-            self._keep(self._config.known)
-            self.post(entries.listed(self._config.known, api.ListKind.REMEMBERED))
+            self._keep(self._config.known, api.ListKind.REMEMBERED)
             if self._config.news:
                 self.post(self._config.news)
             for driver in (self._platform, self._peers, self._discovery):
--- a/frostfall/net/appliances.py
+++ b/frostfall/net/appliances.py
@@ -101,6 +101,9 @@
                         ending = opened
                         return
                     connection = opened
+                    if not connection.usable:
+                        ending = Ending(Progress.NOT_WRITTEN, why="closed before it was used")
+                        return
                 ending = await self._exchange(connection, attempt, statement)
                 return
             # Only a scope that ended the wait comes here: the time is over, or the attempt was given up.
@@ -122,8 +125,6 @@
                         statement: Callable[[], bytes]) -> Ending:
         machine, stream = connection.machine, connection.stream
         attempt.progress = Progress.NOT_WRITTEN
-        if not connection.usable:
-            return Ending(Progress.NOT_WRITTEN, why="closed before it was used")
         try:
             data = machine.ask(statement())
             # Danger: when the write breaks off, it is not known how much has gone out: it may have run.
@@ -169,10 +170,10 @@
         except (OSError, *ENDED) as error:
             why = repr(error)
         finally:
-            if connection is None or connection.machine.state is not State.READY:
+            if connection is None:
                 self._hold(-1)
-                if connection is not None:
-                    await connection.close()
+            elif connection.machine.state is not State.READY:
+                await self._drop(connection)
         refusal = answer if isinstance(answer, Refusal) else None
         return Ending(Progress.NO_CONNECTION, refusal, why=why)
 
--- a/frostfall/net/clients.py
+++ b/frostfall/net/clients.py
@@ -49,7 +49,7 @@
         self._advancing = False
         self._last = False  # whether the connection is to end once what is to be said is said
         self._finished = False  # whether reading has ended for that
-        self._used = anyio.current_time()
+        self.used = anyio.current_time()  # when it last brought something
         self._served = False
         self.request: str | None = None  # the request that waits for its answer
         self.draining = False
@@ -87,12 +87,7 @@
         """Whether it is idle and may be closed before its time."""
         # Danger: a client sends a request that crossed a close once more and not again. Closed before it has
         # got an answer, the connection that carries it would lose it.
-        return self.idle and (self._served or anyio.current_time() - self._used > FRESH)
-
-    @property
-    def used(self) -> float:
-        """When it last brought something."""
-        return self._used
+        return self.idle and (self._served or anyio.current_time() - self.used > FRESH)
 
     def drain(self) -> None:
         """End once the answer is given, or at once where it may be closed."""
@@ -135,9 +130,8 @@
                     self.answer(pg_server.refused(0))
                 case Query(text):
                     if fault := self._front.take(self, text):
-                        event = self._machine.refuse(pg.Malformed.TEXT, fault)
                         _log.info("malformed query", why=fault)
-                        self._say(event.data, last=True)
+                        self._say(self._machine.refuse(pg.Malformed.TEXT, fault).data, last=True)
                 case Closed(data, why):
                     if why:
                         _log.info("malformed input", why=why.value)
@@ -157,11 +151,11 @@
                 while self._machine.busy:
                     await self._answered()
                 return True
-            self._used = anyio.current_time()
+            self.used = anyio.current_time()
             self._machine.feed(data)
             self._advance()
             if self.draining and self.spare:
-                self._say(b"", last=True)
+                self.end()
         return True
 
     async def _answered(self) -> None:
--- a/frostfall/net/discovery.py
+++ b/frostfall/net/discovery.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Callable
 
 import anyio
@@ -10,7 +9,7 @@
 
 from frostfall import log
 from frostfall.config import Address
-from frostfall.net.streams import ENDED, READ_MOST, connected
+from frostfall.net.streams import ENDED, READ_MOST, BackOff, connected
 from frostfall.protocol.listing import CallFailed, Listing, Watch
 
 WAIT_PART = 0.5  # of the time that the settings allow between questions: how long one call waits for news
@@ -27,7 +26,7 @@
                  told: Callable[[Listing], None], failed: Callable[[], None], unasked: bool = False) -> None:
         """Watch for what is newer than a version; where nobody has to ask, again by itself."""
         self._address = address
-        self._since: int | None = since
+        self._since = since
         self._wait = max(ask_within / 1e6 * WAIT_PART, 1.0)
         self._told, self._failed = told, failed
         self._asked = anyio.Event()
@@ -40,7 +39,7 @@
 
     async def run(self) -> None:
         """Watch whenever it is asked for."""
-        wait = BACK_OFF
+        back_off = BackOff(BACK_OFF, BACK_OFF_MOST)
         while True:
             if self._unasked:
                 self._asked.set()
@@ -54,8 +53,7 @@
             self._asked = anyio.Event()
             self._failed()
             if self._unasked:
-                wait = BACK_OFF if self._heard > heard else min(wait * 2, BACK_OFF_MOST)
-                await anyio.sleep(wait * random.uniform(0.5, 1.0))
+                await back_off.rest(self._heard > heard)
 
     async def _watch(self) -> str:
         try:
--- a/frostfall/net/platform.py
+++ b/frostfall/net/platform.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -13,7 +12,7 @@
 from frostfall import log
 from frostfall.config import Address
 from frostfall.interface import CastVote, RolloutNews, VoteReply
-from frostfall.net.streams import ENDED, READ_MOST, connected
+from frostfall.net.streams import ENDED, READ_MOST, BackOff, connected
 from frostfall.protocol import news, rpc
 
 SILENCE = 3.5  # seconds: a sign of life comes every second
@@ -32,13 +31,12 @@
 class Platform:
     """Keeps one listening connection up; its news and the answers to votes are told as they come."""
 
-    def __init__(self, address: Address, vote_timeout: int, seed: int,
+    def __init__(self, address: Address, vote_timeout: int,
                  told: Callable[[RolloutNews], None]) -> None:
         """Talk to the platform at this address."""
         self._address = address
         self._vote_timeout = vote_timeout / 1e6
         self._told = told
-        self._random = random.Random(seed)
         self._stream: ByteStream | None = None
         self._sending = anyio.Lock()
         self._number = 0
@@ -55,7 +53,7 @@
     async def run(self) -> None:
         """Connect, listen, and again."""
         async with anyio.create_task_group() as self._group:
-            wait = BACK_OFF
+            back_off = BackOff(BACK_OFF, BACK_OFF_MOST)
             while True:
                 began = anyio.current_time()
                 why = "failed"
@@ -64,8 +62,7 @@
                 except Exception:
                     _log.exception("connection failed")
                 _log.info("connection ended", why=why)
-                wait = BACK_OFF if anyio.current_time() - began > SILENCE else min(wait * 2, BACK_OFF_MOST)
-                await anyio.sleep(wait * self._random.uniform(0.5, 1.0))
+                await back_off.rest(anyio.current_time() - began > SILENCE)
 
     async def _listen(self) -> str:
         try:
--- a/frostfall/net/streams.py
+++ b/frostfall/net/streams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -28,6 +29,19 @@
         return self.used >= self.most
 
 
+class BackOff:
+    """Rests between tries that fail: doubling, with jitter, from the first again after one that went well."""
+
+    def __init__(self, first: float, most: float) -> None:
+        """Rest for so many seconds at first, and at most."""
+        self._first, self._most, self._wait = first, most, first
+
+    async def rest(self, went_well: bool) -> None:
+        """Rest before the next try."""
+        self._wait = self._first if went_well else min(self._wait * 2, self._most)
+        await anyio.sleep(self._wait * random.uniform(0.5, 1.0))
+
+
 async def close(stream: SocketStream) -> None:
     """Close it now, whatever happens to the caller."""
     with anyio.CancelScope(shield=True):
--- a/frostfall/protocol/entries.py
+++ b/frostfall/protocol/entries.py
@@ -9,12 +9,10 @@
 from frostfall.protocol.statement import load_values
 from frostfall.wirehost import codec
 
-REMOVED = "terminated"
-
 _AVAILABILITY = {
     "in_service": api.Availability.UP,
     "terminating": api.Availability.DRAINING,
-    REMOVED: api.Availability.REMOVED,
+    "terminated": api.Availability.REMOVED,
 }
 _LOAD_NAMES = {  # appliances' words for what the settings name
     "inflight": "busy_reqs",
