--- a/frostfall/net/agent.py
+++ b/frostfall/net/agent.py
@@ -7,7 +7,7 @@
 import resource
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import anyio
 from anyio.abc import TaskGroup
@@ -32,6 +32,7 @@
 
 SPARE_SOCKETS = 32  # descriptors: a dozen of our own, a crowd to be refused, and some that are closing
 LINGER = 0.7  # seconds after the order to stop in which new connections may still come, by the protocol
+NEEDS_RESTART = ("name", "listen", "limits", "peer_listen", "peers", "peers_all", "settings", "log_level")
 HEALTH_EVERY = 5.0  # seconds between log lines on the agent's own health
 
 _log = log.get("agent")
@@ -241,6 +242,22 @@
         """Answer what has been taken, then let `run` return."""
         self._stopping.set()
 
+    def reload(self, told: Config) -> None:
+        """Take over where discovery and the platform are now; all else stays as it was at the start."""
+        old = self._config
+        moved = [key for key, changed in (("discovery", told.discovery != old.discovery),
+                                          ("release_api.address", told.platform != old.platform)) if changed]
+        stays = [key for key in NEEDS_RESTART if getattr(told, key) != getattr(old, key)]
+        if self._platform and told.platform:
+            self._platform.move(told.platform)
+        elif told.platform != old.platform:
+            moved.remove("release_api.address")
+            stays.append("release_api.address")
+            told = replace(told, platform=old.platform)
+        self._discovery.move(told.discovery)
+        self._config = replace(old, discovery=told.discovery, platform=told.platform)
+        _log.info("reloaded", moved=moved, needs_restart=stays)
+
     async def run(self, ready: Callable[[], None] | None = None) -> None:
         """Serve until stopped; `ready` is called once clients can connect. OSError where they cannot."""
         listener = await listen(self._config.listen)
--- a/frostfall/net/discovery.py
+++ b/frostfall/net/discovery.py
@@ -22,7 +22,7 @@
 class Discovery:
     """Runs the watch when asked to; its failure is told, and the next start is the agent's to ask for."""
 
-    def __init__(self, address: Address, since: int, ask_within: int,
+    def __init__(self, address: Address, since: int | None, ask_within: int,
                  told: Callable[[Listing], None], failed: Callable[[], None], unasked: bool = False) -> None:
         """Watch for what is newer than a version; where nobody has to ask, again by itself."""
         self._address = address
@@ -32,11 +32,19 @@
         self._asked = anyio.Event()
         self._unasked = unasked
         self._heard = 0  # answers
+        self._watching: anyio.CancelScope | None = None
 
     def ask(self) -> None:
         """Start the watch; one that runs goes on."""
         self._asked.set()
 
+    def move(self, address: Address) -> None:
+        """Ask at another address from now on, at once and for the whole list."""
+        self._address, self._since = address, None
+        self._asked.set()
+        if self._watching:
+            self._watching.cancel()
+
     async def run(self) -> None:
         """Watch whenever it is asked for."""
         back_off = BackOff(BACK_OFF, BACK_OFF_MOST)
@@ -45,10 +53,13 @@
                 self._asked.set()
             await self._asked.wait()
             why, heard = "failed", self._heard
-            try:
-                why = await self._watch()
-            except Exception:
-                _log.exception("watch failed")
+            with anyio.CancelScope() as self._watching:
+                try:
+                    why = await self._watch()
+                except Exception:
+                    _log.exception("watch failed")
+            if self._watching.cancel_called:  # moved: it goes on elsewhere
+                continue
             _log.info("watch ended", why=why)
             self._asked = anyio.Event()
             self._failed()
--- a/frostfall/net/platform.py
+++ b/frostfall/net/platform.py
@@ -42,6 +42,13 @@
         self._number = 0
         self._out: dict[int, _Vote] = {}
         self._group: TaskGroup | None = None
+        self._listening: anyio.CancelScope | None = None
+
+    def move(self, address: Address) -> None:
+        """Talk to the platform at another address from now on; votes without an answer end as unknown."""
+        self._address = address
+        if self._listening:
+            self._listening.cancel()
 
     def cast(self, action: CastVote) -> None:
         """Send a vote; its reply is told later."""
@@ -57,12 +64,13 @@
             while True:
                 began = anyio.current_time()
                 why = "failed"
-                try:
-                    why = await self._listen()
-                except Exception:
-                    _log.exception("connection failed")
-                _log.info("connection ended", why=why)
-                await back_off.rest(anyio.current_time() - began > SILENCE)
+                with anyio.CancelScope() as self._listening:
+                    try:
+                        why = await self._listen()
+                    except Exception:
+                        _log.exception("connection failed")
+                    _log.info("connection ended", why=why)
+                    await back_off.rest(anyio.current_time() - began > SILENCE)
 
     async def _listen(self) -> str:
         try:
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -29,6 +29,7 @@
     Appliance,
     Client,
     configured,
+    free_port,
     instance,
     listening,
     read,
@@ -400,3 +401,107 @@
             "53300",) for text in each.statements]
         names = [match[1] for match in ran if match]
         assert len(names) == len(set(names))  # what must never run twice went out once, but for refusals
+
+
+@asynccontextmanager
+async def control(news: list[str], lists: list[bytes], entry: dict[str, Any]) -> AsyncIterator[list[Any]]:
+    """A platform and a discovery that note what reaches them."""
+    async def platform(stream: ByteStream) -> None:
+        news.append(str(await stream.receive()))
+        await stream.send(b'{"jsonrpc":"2.0","id":1,"result":true}\n')
+        await anyio.sleep_forever()
+
+    async def discovery(stream: ByteStream) -> None:
+        while True:
+            lists.append(await stream.receive())
+            if b"since" in lists[-1]:
+                await anyio.sleep_forever()
+            body = msgspec.json.encode({"generation": 7, "reset": True, "instances": [entry]})
+            await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+
+    async with listening(platform) as rpc, listening(discovery) as http:
+        yield [rpc, http]
+
+
+async def until(condition: Any) -> None:
+    with anyio.fail_after(LONG):
+        while not condition():
+            await anyio.sleep(0.01)
+
+
+async def test_a_reload_moves_to_the_new_addresses_and_asks_anew_while_requests_go_on() -> None:
+    calls: list[tuple[list[str], list[bytes]]] = [([], []), ([], []), ([], [])]
+    old, new = Appliance(value=b"old"), Appliance(value=b"new")
+    async with AsyncExitStack() as stack:
+        first, second = [await stack.enter_async_context(listening(each)) for each in (old, new)]
+        places = [await stack.enter_async_context(control(*call, instance("s-1", target)))
+                  for call, target in zip(calls, (first, first, second))]
+        told = configured(instance("s-1", first), discovery=str(places[0][1]),
+                          release_api={"address": str(places[0][0])})
+        agent = await stack.enter_async_context(serving(told))
+        client = await Client.connect(told.listen)
+        await until(lambda: calls[0][0])
+        for number in (1, 2):  # more than once
+            moved = configured(instance("s-1", first), discovery=str(places[number][1]),
+                               release_api={"address": str(places[number][0])})
+            agent.reload(moved)
+            assert (await client.ask(read(f"q{number}")))[0] == b"D"
+            await until(lambda at=number: calls[at][0] and calls[at][1])
+            assert b"since" not in calls[number][1][0]
+        assert (await client.ask(read("q9")))[1].endswith(b"new")
+
+
+async def test_a_vote_under_way_at_a_reload_ends_as_unknown() -> None:
+    agent, ended = Agent(configured()), []
+    assert agent._platform
+    agent._platform._told = ended.append
+    asked = anyio.Event()
+
+    async def platform(stream: ByteStream) -> None:
+        while True:
+            if b"verdict" in await stream.receive():
+                asked.set()
+
+    async with listening(platform) as address, anyio.create_task_group() as group:
+        agent._platform.move(address)
+        group.start_soon(agent._platform.run)
+        await until(lambda: agent._platform._stream)
+        agent._platform.cast(api.CastVote(42, 0, api.Verdict.ON))
+        await asked.wait()
+        agent._platform.move(address)
+        await until(lambda: ended)
+        group.cancel_scope.cancel()
+    assert ended[0].reply is api.VoteReply.UNKNOWN
+
+
+async def test_sighup_reloads_and_a_file_that_cannot_be_used_is_one_logged_line(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    async with listening(Appliance()) as address:
+        known = instance("s-1", address)
+        told = configured(known)
+        async with program(told, path, known) as process:
+            assert process.stderr is not None
+            good = msgspec.json.decode(path.read_bytes())
+
+            async def logged(event: str) -> dict[str, Any]:
+                process.send_signal(signal.SIGHUP)
+                while True:
+                    line = msgspec.json.decode(await anyio.to_thread.run_sync(process.stderr.readline))
+                    if line["event"] == event:
+                        return line
+
+            client = await Client.connect(told.listen)
+            for text, key in ((b'{"settings":', "configuration"), (None, "BALANCER_CONFIG"),
+                              (msgspec.json.encode(good | {"discovery": "nowhere"}), "discovery")):
+                path.unlink() if text is None else path.write_bytes(text)
+                assert (await logged("reload refused"))["why"].startswith(key)
+            moved = good | {"discovery": f"127.0.0.1:{free_port()}", "limits": {"sockets": 512}}
+            path.write_bytes(msgspec.json.encode(moved))
+            line = await logged("reloaded")
+            assert (line["moved"], line["needs_restart"]) == (["discovery"], ["limits"])
+            assert (await client.ask(read("q1")))[0] == b"D"
+            process.send_signal(signal.SIGTERM)
+            for _ in range(20):  # also in the middle of the end
+                process.send_signal(signal.SIGHUP)
+                await anyio.sleep(0.05)
+            assert await anyio.to_thread.run_sync(lambda: process.wait(LONG)) == 0
