--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -13,37 +13,32 @@
 
 from frostfall import interface as api
 from frostfall.interface import Availability, Effect, Outcome, Phase, Verdict, VoteReply
-from frostfall.linalg import divergence, evidence, mixing_rate
+from frostfall.linalg import divergence, evidence, mixing_rate, round_length, threshold
 from frostfall.state import Attempt, Ballot, Exchange, Known, Request, Test
 
 TICK, HOLD = 100_000, 50_000  # in us: one exchange, over a message's way; how often a held request is tried
 ALPHA, BETA, MARGIN = 0.05, 0.05, 0.05  # the design's: chances of a wrong 'on', 'back' (shared out); p1 - p0
 LATE_AIMS, LATE_TIMES, LATE_MARGIN = 1.5, 2.5, 0.2  # late is over so many aims, or usual times; its p1 - p0
 LATE_MEMORY, LATE_LEAST, LATE_PART = 5e5, 15.0, 0.33  # answers of the same moment, against the trial's too
-LATE_MOST = 0.34  # of the way to 'back' in one round: answers that are late together tell one thing
 SETTLE, LEAST_POOLED = 5_000_000, 10  # the design: younger machines may be slow; outcomes that a vote needs
 PRIOR_BAD, PRIOR_WEIGHT = 0.01, 50.0  # p0 before outcomes, and how many outcomes it is worth: keeps p0 off 0
-LAST_MARGIN, LAST_TIME = 0.4, 8_000_000  # p1 - p0 against calmer times; how long it must last at least
-FLAG_FLOOR = 0.003  # disputes of right answers that are always reckoned with
-MEMORY = 600.0  # pooled outcomes that p0 remembers; counted, not timed: it stands when no old server is left
+LATE_MOST, LAST_MARGIN, LAST_TIME = 0.34, 0.4, 8_000_000  # of the way to 'back' in a round; calm times'
+FLAG_FLOOR, MEMORY = 0.003, 600.0  # disputes always reckoned with; pooled outcomes p0 remembers: counted
 VOTES_USE, LOGGED = 0.5, 3  # part of the platform's votes a second that is used, in turn; who logs its vote
-LUCK = 2.0  # standard deviations of chance that the cold budget is kept clear of
-COLD_LEAST = 1.0  # sends per second that a cold server gets of all agents though nothing has been served yet
+LUCK, COLD_LEAST = 2.0, 1.0  # deviations of chance the cold budget keeps clear of; its least sends a second
 NEAR, NEAR_USES = 12, 4  # servers that an agent keeps to at least; sends that make a connection worth while
-SAMPLE = 12  # servers that a request chooses among: work must not grow with the fleet
-KEEN = 4.0  # a server is drawn with odds of its cost to minus this power
+SAMPLE, KEEN = 12, 4.0  # servers a request chooses among, in any fleet; with odds of cost to minus this power
 EAGER = 0.25  # doublings of load by which a trial build is preferred; more with its part if old ones stay
 LEARN_ERRORS, LEARN_SLOW, LEARN_NORM, LEARN_MEAN = 0.15, 0.07, 0.05, 0.03  # weight of one outcome in a mean
 FORGET, STALE = 3_000_000, 500_000  # what is known of a server's speed, or its load, fades to the fleet's
 RATE_MEMORY, TRUST = 2_000_000, 1_000_000  # served is counted over so long; how long odds lean on a report
-ANSWER_EARLY = 10_000  # a request is concluded so long before its deadline
+CARRY_MEMORY = 20_000_000  # what a server carried at most fades so slowly, as a fleet warms up
 RETRY_SHARE, RETRY_DEPTH = 0.15, 6.0  # further attempts per request taken, and how many may be saved up
-OVERDUE = 3.0  # usual answer times after which an open attempt speaks against its server
+ANSWER_EARLY, OVERDUE = 10_000, 3.0  # before the deadline; usual times after which an open attempt tells
 SHUN_FIRST, SHUN_MOST = 300_000, 4_000_000  # how long an unreachable server is left alone, doubling
-PROBE_SHARE = 0.5  # probes per request taken, where load is told to probes alone: half a point as listed
-APART = 200_000  # of all agents' calls to discovery, which answers one caller after another
+PROBE_SHARE, APART = 0.5, 200_000  # probes a request taken; of all agents' calls to discovery, served in turn
 SHED_UP, SHED_DOWN, SHED_MOST = 0.03, 0.01, 0.6  # part shed: up by each late answer, down by each timely one
-FILL, SPARE = 0.6, 0.3  # of the aim: how long answers may take; of what may be open: kept for the worthiest
+FILL, IDLE_FILL, IDLE_QUEUE, SPARE = 0.6, 1.2, 0.5, 0.3  # of the aim; if so few wait; kept for the worthiest
 
 
 def partner(agent: int, agents: int, turn: int, turns: int) -> int:
@@ -52,21 +47,6 @@
     return (crc32(b"%d" % (turn // turns)) + (1 << turn % turns) - agent) % agents
 
 
-def round_length(agents: int) -> int:
-    """Exchanges in one round, the mechanism's step: enough that the band is that of the pooled evidence."""
-    turns = (agents - 1).bit_length() + 1
-    while agents * mixing_rate(agents, turns) ** 2 > 1:
-        turns += 1
-    return turns
-
-
-def threshold(error: float, agents: int, r: float, m: float) -> float:
-    """The design's bound on the mixed score for one error chance (the paper's Theorem 4.1)."""
-    k = agents * r * r
-    miss = -math.expm1(-agents * max(m, 1e-6) / (4 * (k + 1)))  # m near 0 would ask for an endless band
-    return 8 * (k + 1) / (7 * agents) * (math.log(2 / error) - math.log(miss))
-
-
 class Brain:
     """One agent."""
 
@@ -78,13 +58,13 @@
         self.now, self.actions = 0, list[api.Action]()
         self.servers, self.requests = dict[int, Known](), dict[str, Request]()
         self.held: dict[str, Request] = {}  # requests with no server to go to yet, in order
-        self.rate, self.rate_at = 0.0, 0  # requests served per second
+        self.rate, self.rate_at, self.carried = 0.0, 0, 0.0  # requests served a second; the most by a server
         self.fleet, self.trials, self.eager = list[Known](), list[Known](), EAGER  # servers up; on trial
         self.norms = defaultdict[int, list[float]](lambda: [0.0, 1.0])  # by build: mean errors and slowness
         self.shed, self.best = 0.0, max((kind.worth for kind in settings.classes), default=1.0)
         self.retry_tokens, self.probe_tokens, self.holding = RETRY_DEPTH, 0.0, False
         self.mean_time, self.mean_hint = dict[str, float](), dict[str, float]()  # by class
-        self.usual, self.open, self.others = 0.0, 0, 0.0  # answer time; attempts out; load by others
+        self.usual, self.open, self.others, self.queue = 0.0, 0, 0.0, 1.0  # answer time; out; others; waiting
         self.timed, self.ask_backoff, self.ask_at = defaultdict[str, int](int), SHUN_FIRST, 0
         self.news: api.RolloutNews | None = None
         self.taken = defaultdict[str, deque[int]](deque)
@@ -93,7 +73,7 @@
         self.turns, self.turn = round_length(self.agents), -1
         self.r = mixing_rate(self.agents, self.turns)
         self.rows = dict[tuple[int, str], list[float]]()  # by build, class: own outcomes, failed, ever
-        self.flags, self.calm = dict[int, int](), 0.0  # answers disputed, by build; late before the trial
+        self.flags, self.calm, self.gone = dict[int, int](), 0.0, -1  # disputes; late before; build gone back
         self.test: Test | None = None
         self.ballot: Ballot | None = None
         self.handlers: dict[type, Any] = {
@@ -113,8 +93,7 @@
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         """Answer one event."""
         self.now, self.actions = now, []
-        if handler := self.handlers.get(type(event)):
-            handler(event)
+        self.handlers.get(type(event), lambda _: None)(event)
         return self.actions
 
     def _act(self, action: api.Action) -> None:
@@ -145,8 +124,8 @@
         if event.kind is not api.ListKind.REMEMBERED:  # which nobody was asked for
             self.ask_at = self.now + max(self.rules.ask_within, self.agents * APART)
         self.ask_backoff, listed = SHUN_FIRST, {info.id for info in event.servers}
-        if event.kind is not api.ListKind.CHANGES:
-            self.servers = {name: s for name, s in self.servers.items() if name in listed}
+        self.servers = {name: s for name, s in self.servers.items() if name in listed or (
+            event.kind is api.ListKind.CHANGES)}
         for info in event.servers:
             old = self.servers.get(info.id)
             if info.availability is Availability.REMOVED:
@@ -175,18 +154,21 @@
         return self.rules.cold_share + (1 - self.rules.cold_share) * warm
 
     def _served(self) -> float:  # requests per second of late
-        self.rate, self.rate_at = self.rate * math.exp((self.rate_at - self.now) / RATE_MEMORY), self.now
+        past, self.rate_at = self.rate_at - self.now, self.now
+        self.rate *= math.exp(past / RATE_MEMORY)
+        self.carried = max(self.carried * math.exp(past / CARRY_MEMORY), self.rate / max(len(self.fleet), 1))
         return self.rate
 
     def _credit(self, server: Known) -> float:
         # Our part of what a server carries (served: more may be asked than can be done), times its least
         # capacity now, is safe up to the multiple that fells it, less chance, if all keep to theirs.
-        served, count = self._served(), max(len(self.fleet), 1)
-        everyone = max(served, self.test.served * self._pool(self.test) if self.test else 0.0)
-        most = self.rules.fall_multiple * self._capacity(server) / count
+        # Danger: a fleet all cold serves less, and would be allowed less still. What was carried counts.
+        self._served()
+        everyone = max(self.carried, self.test.carried * self._pool(self.test) if self.test else 0.0)
+        most = self.rules.fall_multiple * self._capacity(server)
         budget = max(most * everyone * self.rules.fall_window / 1e6, 1e-9)
         safe = max(1 + (LUCK ** 2 - LUCK * math.sqrt(2 * budget + LUCK ** 2)) / budget, 0.0)
-        earned = max(most * served * safe, COLD_LEAST / self.agents)
+        earned = max(most * self.carried * safe, COLD_LEAST / self.agents)
         span = min(self.now - server.credit_at, self.rules.fall_window) / 1e6
         server.credit, server.credit_at = min(server.credit + earned * span, 1.0), self.now
         return server.credit
@@ -240,18 +222,21 @@
         while self.restarts and self.now >= self.restarts[0]:
             self.restarts.pop(0)
             self.taken.clear()
-        logs = self.taken[request.group], self.exposed[build, request.group]
-        for log in logs:
-            while log and log[0] < self.now - rollout.window:
-                log.popleft()
-        return len(logs[1]) + 1 <= rollout.free_attempts + cap * len(logs[0])
+        taken, sent = self._count(self.taken[request.group]), self._count(self.exposed[build, request.group])
+        return len(sent) + 1 <= rollout.free_attempts + cap * len(taken)
+
+    def _count(self, log: deque[int]) -> deque[int]:  # what lies in the window of the rule on exposure
+        window = self.rollout.window if self.rollout else 0
+        while log and log[0] < self.now - window:
+            log.popleft()
+        return log
 
     def _send(self, request: Request, server: Known, mean: float) -> None:
         """Send, if the guards allow it: the only place where an attempt begins."""
         name = request.event.request
         if not self._may_send(request, server):
             raise AssertionError(f"policy chose to send {name} where the guards forbid it")
-        self.exposed[server.info.build, request.group].append(self.now)
+        self._count(self.exposed[server.info.build, request.group]).append(self.now)
         server.credit = max(server.credit - 1, 0.0)
         self.open += 1
         request.attempts.append(Attempt(server, self.now, max(1.0, self._load(server) / mean)))
@@ -263,8 +248,8 @@
             return
         self._cancel(request)
         wait = min(self.limits.max_retry_after, request.kind.aim // 2) * self.limits.retry_after
-        refusal = api.Refuse(request.event.request, wait) if self._may_refuse(request) else None
-        self._act(refusal or api.Fail(request.event.request))
+        name = request.event.request
+        self._act(api.Refuse(name, wait) if self._may_refuse(request) else api.Fail(name))
         self._close(request)
 
     def _cancel(self, request: Request) -> None:
@@ -285,7 +270,7 @@
         group = kind.name if self.rollout and self.rollout.per_class else ""
         request = self.requests[event.request] = Request(event, kind, self.now, group)
         self.retry_tokens = min(self.retry_tokens + RETRY_SHARE, RETRY_DEPTH)
-        self.taken[group].append(self.now)
+        self._count(self.taken[group]).append(self.now)
         self.probe_tokens = min(self.probe_tokens + PROBE_SHARE, 2.0)
         mean = self.mean_hint.get(kind.name, float(event.hint or 0))
         self.mean_hint[kind.name] = mean + LEARN_MEAN * ((event.hint or mean) - mean)
@@ -296,8 +281,10 @@
 
     def _room(self, request: Request) -> bool:
         # Danger: when more is asked than can be served, all answers come late. So no more is kept open than
-        # is served in a part of the aim (Little's law), and the least worthy class finds no room first.
-        fit = max(self._served() * FILL * request.kind.aim / 1e6 + 2, len(self.servers) / 2)
+        # is served in a part of the aim (Little's law), and the least worthy class finds no room first. Where
+        # nothing waits, answers that take that long are slow themselves, and refusals would lower the bound.
+        fill = IDLE_FILL if self.queue < IDLE_QUEUE else FILL
+        fit = max(self._served() * fill * request.kind.aim / 1e6 + 2, len(self.servers) / 2)
         return self.open < fit * (1 - SPARE + SPARE * request.kind.worth / max(self.best, 1e-9))
 
     def _place(self, request: Request) -> None:
@@ -391,8 +378,9 @@
         self._learn(request, attempt, event)
         self._judge(request, attempt, event)
         if event.final or request.done:
-            if event.outcome is Outcome.SUCCESS and key and self._on_trial(attempt.server.info.build):
-                self.answered_by[key] = attempt.server.info.build
+            build, one_way = attempt.server.info.build, self.rollout and self.rollout.one_way
+            if event.outcome is Outcome.SUCCESS and key and one_way and self._on_trial(build):
+                self.answered_by[key] = build
             self._cancel(request)
             self._close(request)
         elif all(earlier.outcome is not None for earlier in request.attempts):
@@ -439,6 +427,7 @@
         return work * self.mean_time.get(name, request.kind.aim / 2)
 
     def _report(self, server: Known, load: api.Load | None) -> None:
+        self.queue += LEARN_NORM * (load.queued - self.queue) if load and load.queued is not None else 0.0
         if load and (held := load.held if load.held is not None else load.queued) is not None:
             server.others, server.told_at = max(0.0, held - len(server.out)), self.now
             self.others += LEARN_NORM * (server.others - self.others)
@@ -455,9 +444,9 @@
             self.news = news
             key = (news.build, news.stage if news.phase is Phase.TRIAL else -1)
             if news.phase in (Phase.GOING_BACK, Phase.WITHDRAWN):
-                self.test = None
+                self.test, self.gone = None, news.build
             elif self.test is None or self.test.key != key:
-                old, was = self.test, self._earlier(news.build)
+                old, was = self.test, self._forget(news.build)
                 base = old.base if old and old.key[0] == news.build else [
                     sum(row[k] for (b, _), row in self.rows.items() if b == was) for k in (0, 1)]
                 self.test = Test(key, self.now - news.age, base, [*[0.0] * 4, *base, *[0.0] * 6])
@@ -465,8 +454,17 @@
         if news.reply in (VoteReply.OVERLOADED, VoteReply.ERROR, VoteReply.UNKNOWN) and self.ballot:
             self.ballot.renew_at = self.now + 300_000 + self.random.randrange(500_000)
 
-    def _earlier(self, build: int) -> int:
-        return max((b for b, _ in self.rows if b < build), default=-1)
+    def _forget(self, build: int) -> int:
+        # Danger: where builds follow one another all day, what is kept of each would add up.
+        since = self._earlier(build)
+        self.answered_by = {key: b for key, b in self.answered_by.items() if b >= build}
+        for kept in list[dict[Any, Any]]((self.rows, self.flags, self.norms, self.exposed)):
+            for key, b in [(key, key if isinstance(key, int) else key[0]) for key in kept]:
+                kept.pop(key) if b < since or b == self.gone else None
+        return since
+
+    def _earlier(self, build: int) -> int:  # a build that went back is no measure for the next
+        return max((b for b, _ in self.rows if b < build and b != self.gone), default=-1)
 
     def _p0(self, test: Test, name: str | None) -> float:
         # The earlier build's smoothed share of failures: of all agents, or of a class, leaning on that.
@@ -507,7 +505,7 @@
         settled = attempt.sent_at - server.info.started_at >= SETTLE  # a cold machine is slow
         # Danger: a server that has said nothing since is lost or cut off; that tells nothing of its build.
         slow = event.outcome is Outcome.TIMED_OUT and server.heard_at > attempt.sent_at and settled
-        if not slow and event.outcome not in (Outcome.SUCCESS, Outcome.ERROR):
+        if build == self.gone or (not slow and event.outcome not in (Outcome.SUCCESS, Outcome.ERROR)):
             return
         if settled and not failed:
             # Danger: machines of the trial build that are sent more than others are slower for that alone.
@@ -570,7 +568,7 @@
         test.steps, test.missed, test.meets, test.turns = test.steps + 1, max(gone, test.mix[11]), 0, 0
         test.met = self.turns - test.missed
         test.score, test.base, test.timed = test.mix[:3], test.mix[4:6], test.mix[6:10]
-        test.count, test.served = test.mix[3], test.mix[10]
+        test.count, test.carried = test.mix[3], test.mix[10]
         # Danger: held against a p0 of a moment ago, the onset of a shared slowdown speaks against the trial.
         fade = math.exp(-self.turns * TICK / LATE_MEMORY)
         test.recent = [old * fade + new for old, new in zip(test.recent, test.timed)]
@@ -593,7 +591,7 @@
         kept = min(1.0, MEMORY / self._pool(test) / max(test.base[0], 1e-9))
         base = (number * kept + fresh for number, fresh in zip(test.base, test.fresh))
         own = (score + fresh for score, fresh in zip(test.score, test.innovation))
-        test.mix = [*own, test.count + test.outcomes, *base, *test.fresh[2:], self._served(), gone]
+        test.mix = [*own, test.count + test.outcomes, *base, *test.fresh[2:], self.carried, gone]
         test.innovation, test.outcomes, test.fresh = [0.0] * 3, 0, [0.0] * 6
 
     def _decide(self, test: Test, rollout: api.Rollout) -> None:
--- a/frostfall/linalg.py
+++ b/frostfall/linalg.py
@@ -25,3 +25,18 @@
 def divergence(p1: float, p0: float) -> float:
     """Mean log-likelihood ratio of one outcome with bad share p1 against p0."""
     return p1 * math.log(p1 / p0) + (1 - p1) * math.log((1 - p1) / (1 - p0))
+
+
+def round_length(agents: int) -> int:
+    """Exchanges in one round, the mechanism's step: enough that the band is that of the pooled evidence."""
+    turns = (agents - 1).bit_length() + 1
+    while agents * mixing_rate(agents, turns) ** 2 > 1:
+        turns += 1
+    return turns
+
+
+def threshold(error: float, agents: int, r: float, m: float) -> float:
+    """The design's bound on the mixed score for one error chance (the paper's Theorem 4.1)."""
+    k = agents * r * r
+    miss = -math.expm1(-agents * max(m, 1e-6) / (4 * (k + 1)))  # m near 0 would ask for an endless band
+    return 8 * (k + 1) / (7 * agents) * (math.log(2 / error) - math.log(miss))
--- a/frostfall/net/agent.py
+++ b/frostfall/net/agent.py
@@ -32,6 +32,8 @@
 
 SPARE_SOCKETS = 32  # descriptors: a dozen of our own, a crowd to be refused, and some that are closing
 LINGER = 0.7  # seconds after the order to stop in which new connections may still come, by the protocol
+CLIENTS_PART = 2  # of the descriptors: clients hold a third of all for requests, and some say nothing
+UNREAD_PART = 8  # of the memory: what all clients together may have sent that is not read out yet
 NEEDS_RESTART = ("name", "listen", "limits", "peer_listen", "peers", "peers_all", "settings", "log_level")
 HEALTH_EVERY = 5.0  # seconds between log lines on the agent's own health
 
@@ -67,7 +69,11 @@
         self._group: TaskGroup | None = None
         sockets = Sockets(config.limits.sockets - SPARE_SOCKETS)
         self._appliances = Appliances(self.clock, config.settings.limits, sockets)
-        self._clients = Clients(self, sockets, sockets.most * 3 // 4, self._appliances.evict)
+        self._longest = (max(kind.deadline for kind in config.settings.classes)
+                         + config.settings.rules.answer_slack) / 1e6
+        self._clients = Clients(self, sockets, sockets.most // CLIENTS_PART,
+                                config.limits.memory_mb * 1024 * 1024 // UNREAD_PART, self._longest,
+                                self._appliances.evict)
         self._discovery = Discovery(config.discovery, config.known.generation,
                                     config.settings.rules.ask_within, self._listed, self._list_failed,
                                     unasked=not config.settings.must_subscribe)
@@ -260,7 +266,7 @@
 
     async def run(self, ready: Callable[[], None] | None = None) -> None:
         """Serve until stopped; `ready` is called once clients can connect. OSError where they cannot."""
-        listener = await listen(self._config.listen)
+        listener = listen(self._config.listen)
         async with anyio.create_task_group() as group:
             self._group = group
             for action in self.brain.start(self.clock.now()):
@@ -284,7 +290,7 @@
                 ready()
             await self._clients.run(listener)
             group.cancel_scope.cancel()
-        await self._appliances.close()
+        self._appliances.close()
         _log.info("stopped")
 
     async def _stop(self) -> None:
@@ -294,8 +300,7 @@
         await anyio.sleep(LINGER)
         self._clients.stop()
         # Danger: a client that does not read its answer would keep the agent for good.
-        longest = max(kind.deadline for kind in self._config.settings.classes)
-        await anyio.sleep((longest + self._config.settings.rules.answer_slack) / 1e6)
+        await anyio.sleep(self._longest)
         _log.warning("stopped before all was read", clients=len(self._clients))
         if self._group:
             self._group.cancel_scope.cancel()
@@ -311,4 +316,6 @@
             _log.info("health", late_ms_most=round(late / 1000, 1), timers=len(self._timers),
                       memory_mb_most=resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024,
                       descriptors=descriptors, clients=len(self._clients),
-                      connections=len(self._appliances), requests=len(self._requests))
+                      connections=len(self._appliances), requests=len(self._requests),
+                      malformed=dict(self._clients.malformed))
+            self._clients.malformed.clear()
--- a/frostfall/net/appliances.py
+++ b/frostfall/net/appliances.py
@@ -2,18 +2,16 @@
 
 from __future__ import annotations
 
-import select
 from collections import defaultdict
 from collections.abc import Callable
 
 import anyio
-from anyio.abc import SocketAttribute, SocketStream
 
 from frostfall import log
 from frostfall.config import Address
 from frostfall.interface import Limits
 from frostfall.net.clock import Clock
-from frostfall.net.streams import ENDED, READ_MOST, Sockets, close
+from frostfall.net.streams import ENDED, Sockets, Stream, connect
 from frostfall.protocol.ending import Ending, Progress
 from frostfall.protocol.pg_client import ClientSide, Refusal, State
 
@@ -28,24 +26,17 @@
 class Connection:
     """One connection to an appliance."""
 
-    def __init__(self, address: Address, stream: SocketStream) -> None:
+    def __init__(self, address: Address, stream: Stream) -> None:
         """Speak over this stream."""
         self.address = address
         self.stream = stream
         self.machine = ClientSide(USER, DATABASE)
         self.idle_since = 0
-        self._poll = select.poll()
-        self._poll.register(stream.extra(SocketAttribute.raw_socket).fileno(),
-                            select.POLLIN | select.POLLRDHUP)
 
     @property
     def usable(self) -> bool:
         """Whether nothing has come on it since its last answer, not even its end."""
-        return self.machine.reusable and not self._poll.poll(0)
-
-    async def close(self) -> None:
-        """Close it now, whatever happens to the caller."""
-        await close(self.stream)
+        return self.machine.reusable and self.stream.quiet
 
 
 class Attempt:
@@ -94,7 +85,7 @@
         try:
             with attempt.scope:
                 attempt.scope.deadline = anyio.current_time() + (deadline - self._clock.now()) / 1e6
-                connection = await self._take(address)
+                connection = self._take(address)
                 if connection is None:
                     opened = await self._open(address)
                     if isinstance(opened, Ending):
@@ -115,7 +106,7 @@
             # Danger: the end is told when the connection is closed, or a second copy could be out beside it.
             if connection is not None and (
                     connection.machine.answer is None or connection.machine.state is State.BROKEN):
-                await self._drop(connection)
+                self._drop(connection)
                 connection = None
             done(ending)
             if connection is not None:
@@ -131,24 +122,24 @@
             attempt.progress = Progress.WRITTEN
             await stream.send(data)
             while machine.answer is None:
-                machine.feed(await stream.receive(READ_MOST))
+                machine.feed(await stream.receive())
                 attempt.progress = Progress.ANSWERING
         except ENDED as error:
             return Ending(attempt.progress, why=repr(error))
         return Ending(attempt.progress, machine.answer, load=machine.load)
 
-    async def _take(self, address: Address) -> Connection | None:
+    def _take(self, address: Address) -> Connection | None:
         """The connection that was used last, if it still stands."""
         while waiting := self._idle.get(address):
             connection = waiting.pop()
             if connection.usable and self._clock.now() - connection.idle_since < self._idle_most:
                 return connection
-            await self._drop(connection)
+            self._drop(connection)
         return None
 
     async def _open(self, address: Address) -> Connection | Ending:
         with anyio.move_on_after(self._connect_timeout):
-            while self._sockets.full and not await self.evict():
+            while self._sockets.full and not self.evict():
                 await anyio.sleep(PAUSE)
         if self._sockets.full:
             return Ending(Progress.NO_CONNECTION, why="no connection is free")
@@ -158,12 +149,11 @@
         why = "no connection in time"
         try:
             with anyio.move_on_after(self._connect_timeout):
-                connection = Connection(
-                    address, await anyio.connect_tcp(address.host, address.port))
+                connection = Connection(address, await connect(address))
                 machine = connection.machine
                 await connection.stream.send(machine.opening)
                 while machine.state is State.STARTING:
-                    machine.feed(await connection.stream.receive(READ_MOST))
+                    machine.feed(await connection.stream.receive())
                 if machine.state is State.READY:
                     return connection
                 answer, why = machine.answer, "turned away"
@@ -173,7 +163,7 @@
             if connection is None:
                 self._hold(-1)
             elif connection.machine.state is not State.READY:
-                await self._drop(connection)
+                self._drop(connection)
         refusal = answer if isinstance(answer, Refusal) else None
         return Ending(Progress.NO_CONNECTION, refusal, why=why)
 
@@ -184,7 +174,7 @@
             if machine.state is State.ANSWERED:  # most often ReadyForQuery came with the answer
                 with anyio.move_on_after(self._connect_timeout):
                     while machine.state is State.ANSWERED:
-                        machine.feed(await connection.stream.receive(READ_MOST))
+                        machine.feed(await connection.stream.receive())
         except ENDED:
             pass
         finally:
@@ -192,24 +182,24 @@
                 connection.idle_since = self._clock.now()
                 self._idle[connection.address].append(connection)
             else:
-                await self._drop(connection)
+                self._drop(connection)
 
-    async def _drop(self, connection: Connection) -> None:
+    def _drop(self, connection: Connection) -> None:
         self._hold(-1)
-        await connection.close()
+        connection.stream.close()
 
     def _hold(self, more: int) -> None:
         self._count += more
         self._sockets.used += more
 
-    async def evict(self) -> bool:
+    def evict(self) -> bool:
         """Close the connection that has been idle for longest; False where none is."""
         oldest = min((each[0] for each in self._idle.values() if each),
                      key=lambda each: each.idle_since, default=None)
         if oldest is None:
             return False
         self._idle[oldest.address].remove(oldest)
-        await self._drop(oldest)
+        self._drop(oldest)
         return True
 
     async def sweep(self) -> None:
@@ -224,11 +214,11 @@
                 if not self._idle[address]:
                     del self._idle[address]
                 for each in stale:
-                    await self._drop(each)
+                    self._drop(each)
 
-    async def close(self) -> None:
+    def close(self) -> None:
         """Close what waits for a request."""
         for waiting in self._idle.values():
             for each in waiting:
-                await self._drop(each)
+                self._drop(each)
         self._idle.clear()
--- a/frostfall/net/clients.py
+++ b/frostfall/net/clients.py
@@ -3,23 +3,32 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Awaitable, Callable
+from collections import Counter
+from collections.abc import Callable, Coroutine
 from contextlib import suppress
-from typing import Protocol
+from typing import Any, Protocol
 
 import anyio
-from anyio.abc import SocketAttribute, SocketListener, SocketStream, TaskGroup
+from anyio.abc import TaskGroup
+from anyio.lowlevel import checkpoint
 
 from frostfall import log
 from frostfall.config import Address
-from frostfall.net.streams import ENDED, READ_MOST, Sockets, close
+from frostfall.net.streams import ENDED, READ_MOST, Sockets, Stream
 from frostfall.protocol import pg, pg_server
 from frostfall.protocol.pg_server import Closed, Query, Reply, ServerSide
 
 BACKLOG = 512  # connections: a burst that comes while the one core is busy elsewhere
-PAUSE = 0.05  # seconds: how long accepting rests after an error, or with a crowd that waits to be refused
+PAUSE = 0.01  # seconds: how long accepting rests after an error, or with a crowd that waits to be refused
+ACCEPT_MOST = 16  # connections accepted in one turn, so that a flood of them leaves the others theirs
+EVENTS_MOST = 32  # messages of one connection handled in one turn, for the same reason
+OUT_MOST = 64 * 1024  # bytes that may wait to be written before a connection's next query is looked at
 CROWD_MOST = 8  # connections beyond the bound that are open at once, only to be refused
-FRESH = 5.0  # seconds: a new connection's first request comes with it or soon after
+FRESH = 0.05  # seconds: a usual client writes as soon as it has connected; until then it is not silent
+QUIET = 2.0  # seconds without an open request after which a connection may be closed, by the protocol
+SWEEP = 0.25  # seconds: how often connections are looked through for those
+SHORT_PART = 0.5  # of the clients' bound: with more open, those that are idle for long are closed
+SMALL = 8 * 1024  # bytes: what a connection may always hold unread, for all of them together is little
 
 _log = log.get("clients")
 
@@ -37,45 +46,53 @@
 class Client:
     """One client's connection."""
 
-    def __init__(self, stream: SocketStream, front: Front, crowded: bool = False) -> None:
+    def __init__(self, stream: Stream, front: Front, owner: Clients, crowded: bool = False) -> None:
         """Serve this stream; a crowded one gets one answer, a refusal."""
         self.crowded = crowded
+        self.opened = anyio.current_time()
+        self.request: str | None = None  # the request that waits for its answer
+        self.draining = crowded
+        self.held = 0  # bytes unread
         self._stream = stream
         self._front = front
+        self._owner = owner
         self._machine = ServerSide()
         self._out = bytearray()
-        self._wake = anyio.Event()
-        self._idle = anyio.Event()
+        self._out_since = 0.0
+        self._flushed = anyio.Event()
+        self._answered = anyio.Event()
+        self._scope = anyio.CancelScope()
         self._advancing = False
+        self._gone = False  # whether the client has left, or is done with
         self._last = False  # whether the connection is to end once what is to be said is said
-        self._finished = False  # whether reading has ended for that
-        self.used = anyio.current_time()  # when it last brought something
+        self._used = self.opened  # when it last brought something or was answered
+        self._asked = False  # whether a whole query has come
         self._served = False
-        self.request: str | None = None  # the request that waits for its answer
-        self.draining = False
+        self._half_since = 0.0  # since when a query is half read
 
     async def run(self) -> None:
         """Serve until either side ends it."""
         try:
-            async with anyio.create_task_group() as group:
-                group.start_soon(self._write, group)
+            with self._scope:
                 if await self._read():
-                    self._finished = True
-                    self._wake.set()
-                else:  # the client has gone, so nobody is left to write to
-                    group.cancel_scope.cancel()
+                    while self._out:
+                        await self._flushed.wait()
         finally:
+            self._gone = True
             self._front.left(self)
-            await close(self._stream)
+            self._stream.close()
 
     def answer(self, data: bytes) -> None:
         """Give the final answer to the query that waits; the next one is then read."""
         self.request = None
         self._served = True
+        self._used = anyio.current_time()
         self._machine.answered()
         self._say(data, last=self.draining and not self._machine.buffered)
-        self._advance()
-        self._idle.set()
+        self._answered.set()
+        if self._machine.buffered and not self._advancing:
+            self._owner.later(self._go_on)
+        self._owner.rests(self)
 
     @property
     def idle(self) -> bool:
@@ -87,7 +104,12 @@
         """Whether it is idle and may be closed before its time."""
         # Danger: a client sends a request that crossed a close once more and not again. Closed before it has
         # got an answer, the connection that carries it would lose it.
-        return self.idle and (self._served or anyio.current_time() - self.used > FRESH)
+        return self.idle and (self._served or anyio.current_time() - self.opened > QUIET)
+
+    @property
+    def silent(self) -> bool:
+        """Whether it has brought no whole query yet."""
+        return not self._asked
 
     def drain(self) -> None:
         """End once the answer is given, or at once where it may be closed."""
@@ -96,146 +118,273 @@
             self.end()
 
     def end(self) -> None:
-        """End at once where no answer is owed."""
+        """End at once where no answer is owed; what has come by now is still answered."""
         self.draining = True
-        if self.idle:
+        if not self._machine.busy:
             self._say(b"", last=True)
 
+    def expire(self, now: float, short: bool, longest: float) -> None:
+        """End a connection that has had its time: the one rule on which of them close, and when."""
+        if self._out:
+            if now - self._out_since > longest:  # nobody reads what is worth nothing by now
+                self._leave()
+        elif self._machine.busy or self._last:
+            return
+        elif not self._asked and now - self.opened > QUIET:
+            self._refuse(pg.Malformed.SILENT)
+        elif self._asked and self._machine.buffered:
+            self._half_since = self._half_since or now
+            if now - self._half_since > QUIET:
+                self._refuse(pg.Malformed.SILENT)
+        elif short and self._served and now - self._used > QUIET:
+            self.end()
+
+    def _leave(self) -> None:
+        self._gone = True
+        self._scope.cancel()
+
+    def _refuse(self, why: pg.Malformed, text: str | None = None) -> None:
+        self._owner.malformed[text or why.value] += 1
+        self._say(self._machine.refuse(why, text).data, last=True)
+
     def _say(self, data: bytes, last: bool = False) -> None:
-        self._out += data
+        if self._gone:
+            return
+        if data and not self._out:
+            try:
+                data = data[self._stream.write(data):]
+            except ENDED:  # the client has gone, so nobody is left to write to
+                self._leave()
+                return
+        if data:
+            if not self._out:
+                self._out_since, self._flushed = anyio.current_time(), anyio.Event()
+                self._owner.later(self._flush)
+            self._out += data
         if last and not self._last:
             # Danger: a query that was read is taken, and lost if the connection ends; one that was not read
             # is sent once more by its client. So reading ends first; what has come by now comes through.
             self._last = True
-            with suppress(OSError):
-                self._stream.extra(SocketAttribute.raw_socket).shutdown(socket.SHUT_RD)
-        self._wake.set()
+            self._owner.ends(self)
+            self._stream.stop_reading()
 
-    def _advance(self) -> None:
+    async def _flush(self) -> None:
+        try:
+            while self._out and not self._gone:
+                await self._stream.writable()
+                del self._out[:self._stream.write(self._out)]
+        except ENDED:
+            self._leave()
+        self._flushed.set()
+        await self._go_on()
+
+    async def _go_on(self) -> None:
+        """Handle what is already there, some of it at a time."""
+        while not self._gone and self._advance():
+            await checkpoint()
+
+    def _advance(self) -> bool:
+        """Handle the next messages; whether there may be more that can be handled now."""
         if self._advancing:  # the agent may answer a query at once, from inside this loop
-            return
+            return False
         self._advancing = True
         try:
-            self._events()
+            for _ in range(EVENTS_MOST):
+                if len(self._out) > OUT_MOST or (event := self._machine.next_event()) is None:
+                    return False
+                self._event(event)
+            return True
         finally:
             self._advancing = False
-
-    def _events(self) -> None:
-        while (event := self._machine.next_event()) is not None:
-            match event:
-                case Reply(data):
-                    self._served = self._served or data == pg_server.EMPTY
-                    self._say(data)
-                case Query() if self.crowded:
+            self._owner.hold(self, self._machine.buffered)
+
+    def _event(self, event: pg_server.Event) -> None:
+        match event:
+            case Reply(data):
+                self._say(data)
+                if data == pg_server.EMPTY:
+                    self._asked = self._served = True
+                    self._owner.works(self)
+                    self._owner.rests(self)
+            case Query(text):
+                self._asked, self._half_since = True, 0.0
+                self._owner.works(self)
+                if self.crowded and not self._owner.promote(self):
                     self.answer(pg_server.refused(0))
-                case Query(text):
-                    if fault := self._front.take(self, text):
-                        _log.info("malformed query", why=fault)
-                        self._say(self._machine.refuse(pg.Malformed.TEXT, fault).data, last=True)
-                case Closed(data, why):
-                    if why:
-                        _log.info("malformed input", why=why.value)
-                    self._say(data, last=True)
+                elif fault := self._front.take(self, text):
+                    self._refuse(pg.Malformed.TEXT, fault)
+            case Closed(data, why):
+                if why:
+                    self._owner.malformed[why.value] += 1
+                self._say(data, last=True)
 
     async def _read(self) -> bool:
         """Read until the connection is to end; False where the client has gone."""
         while not self._machine.closed:
-            if self._machine.busy and self._machine.buffered > READ_MOST:
-                await self._answered()  # a client that sends ahead waits for its answers
+            if self._machine.buffered > READ_MOST and (self._machine.busy or self._out):
+                await self._caught_up()  # a client that sends ahead waits for its answers
                 continue
             try:
-                data = await self._stream.receive(READ_MOST)
+                data = await self._stream.receive()
             except ENDED:
                 if not self._last:
                     return False
                 while self._machine.busy:
-                    await self._answered()
+                    await self._caught_up()
                 return True
-            self.used = anyio.current_time()
+            self._used = anyio.current_time()
             self._machine.feed(data)
-            self._advance()
-            if self.draining and self.spare:
+            await self._go_on()
+            if not self._machine.busy and self._machine.buffered > SMALL and self._owner.over:
+                # What is half read has not been taken, so that it may be refused.
+                self._machine.refuse(pg.Malformed.OVERSIZE)
+                self._say(pg_server.refused(0), last=True)
+            elif self.draining and self.spare:
                 self.end()
         return True
 
-    async def _answered(self) -> None:
-        self._idle = anyio.Event()
-        await self._idle.wait()
-
-    async def _write(self, group: TaskGroup) -> None:
-        try:
-            while True:
-                if self._out:
-                    data = bytes(self._out)
-                    self._out.clear()
-                    await self._stream.send(data)
-                elif self._finished:
-                    break
-                else:
-                    self._wake = anyio.Event()
-                    await self._wake.wait()
-        except ENDED:
-            group.cancel_scope.cancel()
+    async def _caught_up(self) -> None:
+        if self._out:
+            await self._flushed.wait()
+        else:
+            self._answered = anyio.Event()
+            await self._answered.wait()
 
 
-async def listen(address: Address) -> SocketListener:
+def listen(address: Address) -> socket.socket:
     """Listen on this address only; OSError where that cannot be."""
-    multi = await anyio.create_tcp_listener(
-        local_host=address.host, local_port=address.port, backlog=BACKLOG)
-    listener = multi.listeners[0]
-    if not isinstance(listener, SocketListener):
-        raise TypeError("no listener for sockets")
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((address.host, address.port))
+        listener.listen(BACKLOG)
+        listener.setblocking(False)
+    except OSError:
+        listener.close()
+        raise
     return listener
 
 
 class Clients:
-    """The listener: takes connections in up to a bound and knows those that are open."""
+    """The listener: takes connections in up to a bound and knows those that are open.
 
-    def __init__(self, front: Front, sockets: Sockets, most: int,
-                 spare: Callable[[], Awaitable[bool]]) -> None:
-        """Hold at most so many connections, for which `spare` may close one of another use."""
+    Where there is no room, the connection closes first that has said nothing for longest; then one of the
+    pool's that is idle; then the client's that has been idle for longest after its answer.
+    """
+
+    def __init__(self, front: Front, sockets: Sockets, most: int, memory: int, longest: float,
+                 spare: Callable[[], bool]) -> None:
+        """Hold so many connections at most and so many bytes unread; `spare` may close one of another use."""
+        self.malformed = Counter[str]()  # what could not be read, by its reason, since it was last told
         self._front = front
         self._sockets = sockets
         self._most = most
+        self._memory, self._held = memory, 0
+        self._longest = longest
         self._spare = spare
         self._open: set[Client] = set()
-        self._room = anyio.Event()
-        self._crowd = 0
+        # In the order of their coming, each without those that are about to end.
+        self._silent: dict[Client, None] = {}
+        self._idle: dict[Client, None] = {}
+        self._crowd: dict[Client, None] = {}
         self._draining = False
+        self._group: TaskGroup | None = None
         self._accepting: anyio.CancelScope | None = None
 
     def __len__(self) -> int:
         """How many connections are open."""
         return len(self._open)
 
-    async def run(self, listener: SocketListener) -> None:
+    # ---- what connections tell -----------------------------------------------------------------------
+
+    def later(self, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """Do something for a connection beside its own task."""
+        if self._group:
+            self._group.start_soon(work)
+
+    def hold(self, client: Client, held: int) -> None:
+        """So many bytes of it are unread."""
+        self._held += held - client.held
+        client.held = held
+
+    @property
+    def over(self) -> bool:
+        """Whether more is unread than there is memory for."""
+        return self._held > self._memory
+
+    def works(self, client: Client) -> None:
+        """It has brought a query."""
+        self._silent.pop(client, None)
+        self._idle.pop(client, None)
+
+    def promote(self, client: Client) -> bool:
+        """Give a crowded one that has brought a query the place of one that has said nothing, if there is."""
+        oldest = next((other for other in self._silent if not other.crowded), None)
+        if oldest is None:
+            return False
+        oldest.end()
+        client.crowded, client.draining = False, self._draining
+        self._crowd.pop(client, None)
+        return True
+
+    def rests(self, client: Client) -> None:
+        """Its query has been answered."""
+        if client.idle:
+            self._idle[client] = None
+
+    def ends(self, client: Client) -> None:
+        """It is about to end."""
+        for order in (self._silent, self._idle, self._crowd):
+            order.pop(client, None)
+
+    # ---- connections -----------------------------------------------------------------------------------
+
+    async def run(self, listener: socket.socket) -> None:
         """Serve each connection in a task of its own, until stopped and all have ended."""
-        async with anyio.create_task_group() as group:
-            with anyio.CancelScope() as self._accepting:
-                async with listener:
+        try:
+            async with anyio.create_task_group() as group:
+                self._group = group
+                group.start_soon(self._sweep)
+                with anyio.CancelScope() as self._accepting:
                     await self._accept(listener, group)
+                listener.close()
+                while self._open:
+                    await anyio.sleep(0.01)
+                group.cancel_scope.cancel()
+        finally:
+            listener.close()
 
-    async def _accept(self, listener: SocketListener, group: TaskGroup) -> None:
+    async def _accept(self, listener: socket.socket, group: TaskGroup) -> None:
         while True:
-            if self._crowd >= CROWD_MOST:
-                self._room = anyio.Event()
-                with anyio.move_on_after(PAUSE):
-                    await self._room.wait()
-                continue
-            try:
-                stream = await listener.accept()
-            except Exception as error:
-                _log.warning("cannot accept", why=repr(error))
+            await anyio.wait_readable(listener)
+            while len(self._crowd) >= CROWD_MOST and not self._push_out():
                 await anyio.sleep(PAUSE)
-                continue
-            # Danger: a request counts as taken while its connection still waits to be accepted. So none is
-            # left waiting: where there is no room, its first query is refused unseen.
-            client = Client(stream, self._front, crowded=not await self._make_room())
-            client.draining = self._draining or client.crowded
-            self._crowd += client.crowded
-            self._open.add(client)
-            self._sockets.used += 1
-            group.start_soon(self._serve, client)
+            for _ in range(ACCEPT_MOST):
+                try:
+                    raw, _ = listener.accept()
+                except (BlockingIOError, ConnectionAbortedError):
+                    break
+                except OSError as error:
+                    _log.warning("cannot accept", why=repr(error))
+                    await anyio.sleep(PAUSE)
+                    break
+                # Danger: a request counts as taken while its connection still waits to be accepted. So none
+                # is left waiting: where there is no room, its first query is refused unseen.
+                with suppress(OSError):
+                    self._take(Stream(raw), group, crowded=not self._make_room())
+                if len(self._crowd) >= CROWD_MOST:
+                    break
+
+    def _take(self, stream: Stream, group: TaskGroup, crowded: bool) -> None:
+        client = Client(stream, self._front, self, crowded)
+        client.draining = self._draining or crowded
+        self._open.add(client)
+        self._sockets.used += 1
+        self._silent[client] = None
+        if crowded:
+            self._crowd[client] = None
+        group.start_soon(self._serve, client)
 
     async def _serve(self, client: Client) -> None:
         try:
@@ -244,20 +393,36 @@
             _log.exception("connection failed")
         finally:
             self._open.discard(client)
+            self.ends(client)
+            self.hold(client, 0)
             self._sockets.used -= 1
-            self._crowd -= client.crowded
-            self._room.set()
 
-    async def _make_room(self) -> bool:
-        """Whether there is room for one more, after closing something idle if need be."""
+    def _make_room(self) -> bool:
+        """Whether there is room for one more, after closing something if need be."""
         if not self._sockets.full and len(self._open) < self._most:
             return True
-        if len(self._open) < self._most and await self._spare():
+        if self._push_out():
+            return True
+        if len(self._open) < self._most and self._spare():
             return True
-        idle = [client for client in self._open if client.spare]
-        if idle:
-            min(idle, key=lambda client: client.used).end()
-        return bool(idle)
+        if idle := next(iter(self._idle), None):
+            idle.end()
+        return idle is not None
+
+    def _push_out(self) -> bool:
+        """Close the connection that has said nothing for longest, unless it is fresh."""
+        oldest = next(iter(self._silent), None)
+        if oldest is None or anyio.current_time() - oldest.opened <= FRESH:
+            return False
+        oldest.end()
+        return True
+
+    async def _sweep(self) -> None:
+        while True:
+            await anyio.sleep(SWEEP)
+            now, short = anyio.current_time(), len(self._open) > self._most * SHORT_PART
+            for client in list(self._open):
+                client.expire(now, short, self._longest)
 
     def drain(self) -> None:
         """From now on connections end with their answer, and those that have had one end at once."""
@@ -271,4 +436,7 @@
             self._accepting.cancel()
         self._draining = True
         for client in self._open:
-            client.end()
+            if client.idle:
+                client.end()
+            else:
+                client.draining = True
--- a/frostfall/net/discovery.py
+++ b/frostfall/net/discovery.py
@@ -5,11 +5,10 @@
 from collections.abc import Callable
 
 import anyio
-from anyio.abc import ByteStream
 
 from frostfall import log
 from frostfall.config import Address
-from frostfall.net.streams import ENDED, READ_MOST, BackOff, connected
+from frostfall.net.streams import ENDED, BackOff, Stream, connected
 from frostfall.protocol.listing import CallFailed, Listing, Watch
 
 WAIT_PART = 0.5  # of the time that the settings allow between questions: how long one call waits for news
@@ -75,7 +74,7 @@
         except (OSError, *ENDED) as error:
             return repr(error)
 
-    async def _calls(self, stream: ByteStream) -> str | None:
+    async def _calls(self, stream: Stream) -> str | None:
         """Call after call on one connection; why the watch ended, or None where only the connection did."""
         watch = Watch(str(self._address))
         while True:
@@ -89,12 +88,12 @@
             if not watch.reusable:
                 return None
 
-    async def _call(self, stream: ByteStream, watch: Watch) -> Listing | CallFailed:
+    async def _call(self, stream: Stream, watch: Watch) -> Listing | CallFailed:
         with anyio.move_on_after(self._wait + ANSWER_EXTRA):
             await stream.send(watch.call(self._since, int(self._wait * 1000)))
             while True:
                 try:
-                    data = await stream.receive(READ_MOST)
+                    data = await stream.receive()
                 except anyio.EndOfStream:
                     data = b""
                 if (answer := watch.feed(data)) is not None:
--- a/frostfall/net/platform.py
+++ b/frostfall/net/platform.py
@@ -7,12 +7,12 @@
 from typing import Any
 
 import anyio
-from anyio.abc import ByteStream, TaskGroup
+from anyio.abc import TaskGroup
 
 from frostfall import log
 from frostfall.config import Address
 from frostfall.interface import CastVote, RolloutNews, VoteReply
-from frostfall.net.streams import ENDED, READ_MOST, BackOff, connected
+from frostfall.net.streams import ENDED, BackOff, Stream, connected
 from frostfall.protocol import news, rpc
 
 SILENCE = 3.5  # seconds: a sign of life comes every second
@@ -37,7 +37,7 @@
         self._address = address
         self._vote_timeout = vote_timeout / 1e6
         self._told = told
-        self._stream: ByteStream | None = None
+        self._stream: Stream | None = None
         self._sending = anyio.Lock()
         self._number = 0
         self._out: dict[int, _Vote] = {}
@@ -85,12 +85,12 @@
             for vote in self._out.values():
                 vote.done.set()
 
-    async def _read(self, stream: ByteStream) -> str:
+    async def _read(self, stream: Stream) -> str:
         lines = rpc.Lines()
         while True:
             data = b""
             with anyio.move_on_after(SILENCE):
-                data = await stream.receive(READ_MOST)
+                data = await stream.receive()
             if not data:
                 return "silence"
             lines.feed(data)
--- a/frostfall/net/streams.py
+++ b/frostfall/net/streams.py
@@ -1,17 +1,18 @@
-"""Streams: opened within a time, closed whatever happens, and the ways in which one ends."""
+"""Streams: opened within a time, read no further than asked, and the ways in which one ends."""
 
 from __future__ import annotations
 
+import os
 import random
+import socket
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 import anyio
-from anyio.abc import SocketStream
 
 from frostfall.config import Address
 
-READ_MOST = 64 * 1024  # bytes: what one read takes at most
+READ_MOST = 32 * 1024  # bytes: what one read takes at most, so that no connection keeps the others waiting
 CONNECT_TIMEOUT = 1.0  # seconds: a service that is cut off never accepts; appliances have settings
 ENDED = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError)
 
@@ -42,18 +43,94 @@
         await anyio.sleep(self._wait * random.uniform(0.5, 1.0))
 
 
-async def close(stream: SocketStream) -> None:
-    """Close it now, whatever happens to the caller."""
-    with anyio.CancelScope(shield=True):
-        await stream.aclose()
+class Stream:
+    """A TCP connection. Nothing is read ahead, and what is written goes out at once as far as it goes."""
+
+    def __init__(self, raw: socket.socket) -> None:
+        """Speak over this socket, which is connected."""
+        raw.setblocking(False)
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._raw = raw
+
+    @property
+    def quiet(self) -> bool:
+        """Whether nothing has come that is unread, not even the end."""
+        try:
+            self._raw.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        return False
+
+    async def receive(self, most: int = READ_MOST) -> bytes:
+        """Up to so many bytes, once there are any; each call lets the others have their turn."""
+        while True:
+            await anyio.wait_readable(self._raw)
+            try:
+                data = self._raw.recv(most)
+            except BlockingIOError:
+                continue
+            except OSError as error:
+                raise anyio.BrokenResourceError from error
+            if not data:
+                raise anyio.EndOfStream
+            return data
+
+    def write(self, data: bytes | bytearray | memoryview) -> int:
+        """Write what goes out without waiting; how many bytes that was."""
+        try:
+            return self._raw.send(data)
+        except BlockingIOError:
+            return 0
+        except OSError as error:
+            raise anyio.BrokenResourceError from error
+
+    async def writable(self) -> None:
+        """Wait until more can be written."""
+        await anyio.wait_writable(self._raw)
+
+    async def send(self, data: bytes) -> None:
+        """Write all of it."""
+        sent = self.write(data)
+        while sent < len(data):
+            await self.writable()
+            sent += self.write(memoryview(data)[sent:])
+
+    def stop_reading(self) -> None:
+        """Let reading end after what has come by now."""
+        with suppress(OSError):
+            self._raw.shutdown(socket.SHUT_RD)
+
+    def close(self) -> None:
+        """Close it now; who waits on it is told."""
+        anyio.notify_closing(self._raw)
+        self._raw.close()
+
+
+async def connect(address: Address) -> Stream:
+    """A new connection; OSError where it is refused."""
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    raw = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        raw.setblocking(False)
+        with suppress(BlockingIOError):
+            raw.connect((address.host, address.port))
+        await anyio.wait_writable(raw)
+        if code := raw.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            raise OSError(code, os.strerror(code))
+        return Stream(raw)
+    except BaseException:
+        raw.close()
+        raise
 
 
 @asynccontextmanager
-async def connected(address: Address) -> AsyncIterator[SocketStream]:
+async def connected(address: Address) -> AsyncIterator[Stream]:
     """A connection for as long as the block lasts; TimeoutError where none comes up."""
     with anyio.fail_after(CONNECT_TIMEOUT):
-        stream = await anyio.connect_tcp(address.host, address.port)
+        stream = await connect(address)
     try:
         yield stream
     finally:
-        await close(stream)
+        stream.close()
--- a/frostfall/protocol/pg.py
+++ b/frostfall/protocol/pg.py
@@ -29,6 +29,8 @@
     TYPE = "a message of a type that is not spoken here"
     TEXT = "a message with bad text"
     ORDER = "a message out of order"
+    VALUE = "an answer that cannot be the value"
+    SILENT = "no whole query in time"
 
 
 def frame(kind: bytes, payload: bytes) -> bytes:
--- a/frostfall/state.py
+++ b/frostfall/state.py
@@ -20,7 +20,7 @@
     mix: list[float]  # being mixed in this round: score, count, base, timed, served
     timed: list[float] = field(default_factory=lambda: [0.0] * 4)  # last round: earlier timed, late; trial so
     recent: list[float] = field(default_factory=lambda: [0.0] * 2)  # earlier timed, late, fading
-    served: float = 0.0  # requests a second, per agent
+    carried: float = 0.0  # by one server, requests a second, per agent
     score: list[float] = field(default_factory=lambda: [0.0] * 3)  # failures, lateness, disputes
     count: float = 0.0  # outcomes per agent, mixed like the score
     innovation: list[float] = field(default_factory=lambda: [0.0] * 3)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -10,8 +10,8 @@
 import pytest
 
 from frostfall import interface as api
-from frostfall.brain import NEAR, SAMPLE, TICK, Brain, partner, round_length, threshold
-from frostfall.linalg import divergence, mixing_rate
+from frostfall.brain import NEAR, SAMPLE, TICK, Brain, partner
+from frostfall.linalg import divergence, mixing_rate, round_length, threshold
 from frostfall.state import Exchange
 from frostfall.state import Test as SequentialTest
 from tests.support import ROLLOUT, SAFE, SETTINGS, UNSAFE, Agent, S, rollout, sends, server, votes
