--- a/frostfall/config.py
+++ b/frostfall/config.py
@@ -76,7 +76,7 @@
     peers: list[str] = []
     peers_all: str = ""
     release_api: _Platform | None = None
-    known: Listing = msgspec.field(default_factory=lambda: Listing(0, True))
+    known: Listing = msgspec.field(default_factory=lambda: Listing(0, True, []))
 
 
 def address(text: str, key: str) -> Address:
--- a/frostfall/net/agent.py
+++ b/frostfall/net/agent.py
@@ -214,8 +214,13 @@
         if isinstance(ending.answer, Row):
             self._finish(name, ending.answer.data + READY)
         elapsed = self.clock.now() - began
-        self.post(api.AttemptEnded(name, number, action.server, outcome, elapsed, request.done,
-                                   entries.load(ending.load)))
+        try:
+            load = entries.load(ending.load)
+        except Exception:
+            # Danger: whatever a report holds, the event of the attempt's end must come.
+            _log.exception("unreadable load report")
+            load = None
+        self.post(api.AttemptEnded(name, number, action.server, outcome, elapsed, request.done, load))
         self._forget(name)
 
     # ---- what the other drivers tell ---------------------------------------------------------------
--- a/frostfall/net/appliances.py
+++ b/frostfall/net/appliances.py
@@ -18,6 +18,7 @@
 USER, DATABASE = "web", "orders"  # appliances welcome any user
 IDLE_PART = 0.75  # of the settings' time: the appliance closes at that time at the latest, often earlier
 PAUSE = 0.005  # seconds between looks for a free socket; answers take some tens of these
+REST = 2_000  # microseconds after an answer in which a second copy or noise right behind it would come
 SWEEP = 1.0  # seconds: how often idle connections are looked through; well below any idle time
 
 _log = log.get("appliances")
@@ -130,9 +131,12 @@
 
     def _take(self, address: Address) -> Connection | None:
         """The connection that was used last, if it still stands."""
-        while waiting := self._idle.get(address):
-            connection = waiting.pop()
-            if connection.usable and self._clock.now() - connection.idle_since < self._idle_most:
+        waiting, now = self._idle.get(address, []), self._clock.now()
+        for place in range(len(waiting) - 1, -1, -1):
+            if now - waiting[place].idle_since < REST:
+                continue
+            connection = waiting.pop(place)
+            if connection.usable and now - connection.idle_since < self._idle_most:
                 return connection
             self._drop(connection)
         return None
--- a/frostfall/net/clients.py
+++ b/frostfall/net/clients.py
@@ -14,7 +14,7 @@
 
 from frostfall import log
 from frostfall.config import Address
-from frostfall.net.streams import ENDED, READ_MOST, Sockets, Stream
+from frostfall.net.streams import ENDED, Sockets, Stream
 from frostfall.protocol import pg, pg_server
 from frostfall.protocol.pg_server import Closed, Query, Reply, ServerSide
 
@@ -221,7 +221,7 @@
     async def _read(self) -> bool:
         """Read until the connection is to end; False where the client has gone."""
         while not self._machine.closed:
-            if self._machine.buffered > READ_MOST and (self._machine.busy or self._out):
+            if self._machine.buffered > pg.READ_MOST and (self._machine.busy or self._out):
                 await self._caught_up()  # a client that sends ahead waits for its answers
                 continue
             try:
--- a/frostfall/net/platform.py
+++ b/frostfall/net/platform.py
@@ -25,7 +25,7 @@
 @dataclass(slots=True)
 class _Vote:
     done: anyio.Event = field(default_factory=anyio.Event)
-    answer: rpc.Result | rpc.Failure | None = None
+    answer: RolloutNews | VoteReply | None = None
 
 
 class Platform:
@@ -87,37 +87,50 @@
 
     async def _read(self, stream: Stream) -> str:
         lines = rpc.Lines()
+        heard = anyio.current_time()
         while True:
             data = b""
-            with anyio.move_on_after(SILENCE):
+            with anyio.move_on_at(heard + SILENCE):
                 data = await stream.receive()
             if not data:
                 return "silence"
             lines.feed(data)
             while (message := lines.next_message()) is not None:
-                if isinstance(message, rpc.Unreadable):
-                    return f"unreadable: {message.why}"
-                self._hear(message)
+                heard = anyio.current_time()
+                # Danger: on a connection that has told what cannot be read, news may be missing for good.
+                if (why := self._hear(message)) is not None:
+                    return f"unreadable: {why}"
 
     def _next(self) -> int:
         self._number += 1
         return self._number
 
-    def _hear(self, message: rpc.Result | rpc.Failure | rpc.Notification) -> None:
-        if not isinstance(message, rpc.Notification):
-            if vote := self._out.get(message.id):
-                vote.answer = message
+    def _hear(self, message: rpc.Incoming) -> str | None:
+        """Take a message in; why it cannot be read, if so."""
+        match message:
+            case rpc.Unreadable(why):
+                return why
+            case rpc.Notification(news.NEWS, params):
+                return self._tell(params, VoteReply.NONE)
+            case rpc.Notification(method, _):
+                return None if method == news.PING else f"an unknown notification {method[:20]!r}"
+            case rpc.Result(number, value) if (vote := self._out.get(number)):
+                state = news.read(value, VoteReply.COUNTED)
+                if isinstance(state, str):
+                    return state
+                vote.answer = state
                 vote.done.set()
-        elif message.method == news.NEWS:
-            self._tell(message.params, VoteReply.NONE)
+            case rpc.Failure(number, text) if (vote := self._out.get(number)):
+                vote.answer = news.reply_to_error(text)
+                vote.done.set()
+        return None
 
-    def _tell(self, value: Any, reply: VoteReply) -> bool:
+    def _tell(self, value: Any, reply: VoteReply) -> str | None:
         state = news.read(value, reply)
         if isinstance(state, str):
-            _log.warning("unreadable news", why=state)
-            return False
+            return state
         self._told(state)
-        return True
+        return None
 
     async def _vote(self, action: CastVote) -> None:
         """Carry one vote through; `reply` follows how far it had come."""
@@ -135,11 +148,11 @@
                     except ENDED:
                         return
                 await vote.done.wait()
-            if isinstance(vote.answer, rpc.Result):
-                if self._tell(vote.answer.value, VoteReply.COUNTED):
-                    reply = VoteReply.COUNTED
-            elif isinstance(vote.answer, rpc.Failure):
-                reply = news.reply_to_error(vote.answer.message)
+            if isinstance(vote.answer, RolloutNews):
+                reply = VoteReply.COUNTED
+                self._told(vote.answer)
+            elif vote.answer is not None:
+                reply = vote.answer
         except Exception:
             _log.exception("vote failed")
         finally:
--- a/frostfall/net/streams.py
+++ b/frostfall/net/streams.py
@@ -11,8 +11,8 @@
 import anyio
 
 from frostfall.config import Address
+from frostfall.protocol.pg import READ_MOST
 
-READ_MOST = 32 * 1024  # bytes: what one read takes at most, so that no connection keeps the others waiting
 CONNECT_TIMEOUT = 1.0  # seconds: a service that is cut off never accepts; appliances have settings
 ENDED = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError)
 
--- a/frostfall/protocol/listing.py
+++ b/frostfall/protocol/listing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Literal
 
 import h11
 import msgspec
@@ -18,12 +19,12 @@
 
     instance_id: str
     host_port: str
-    lifecycle: str
-    zone: str = ""
-    cell: int = 0
-    weight: float = 1.0
-    started_at_ms: float = 0
-    build: int = 0
+    lifecycle: Literal["in_service", "terminating", "terminated"]
+    zone: str
+    cell: int
+    weight: float
+    started_at_ms: float
+    build: int
 
 
 class Listing(msgspec.Struct):
@@ -31,7 +32,7 @@
 
     generation: int
     reset: bool
-    instances: list[Entry] = []
+    instances: list[Entry]
 
 
 @dataclass(frozen=True, slots=True)
--- a/frostfall/protocol/news.py
+++ b/frostfall/protocol/news.py
@@ -8,7 +8,7 @@
 
 from frostfall import interface as api
 
-LISTEN, VERDICT, NEWS = "listen", "verdict", "news"
+LISTEN, VERDICT, NEWS, PING = "listen", "verdict", "news", "ping"
 
 _PHASES = {
     "canary": api.Phase.TRIAL,
--- a/frostfall/protocol/pg.py
+++ b/frostfall/protocol/pg.py
@@ -11,7 +11,9 @@
 CANCEL_REQUEST, SSL_REQUEST, GSSENC_REQUEST = 80877102, 80877103, 80877104
 STARTUP_MOST = 10_000  # bytes: what PostgreSQL itself allows a startup packet
 MESSAGE_MOST = 160 * 1024  # bytes: a value of 64 KiB written in hex, and the statement around it
-BUFFER_MOST = MESSAGE_MOST + 64 * 1024  # bytes: a whole message and the read that completes it
+ANSWER_MOST = 72 * 1024  # bytes: a value of 64 KiB as it is, and what is around it
+READ_MOST = 32 * 1024  # bytes: what one read takes at most, so that no connection keeps the others waiting
+BUFFER_MOST = MESSAGE_MOST + READ_MOST  # bytes: a whole message and the read that completes it
 
 READY = b"Z\x00\x00\x00\x05I"
 TERMINATE = b"X\x00\x00\x00\x04"
@@ -63,14 +65,14 @@
     return {part[:1].decode("latin-1"): part[1:].decode("utf-8", "replace") for part in parts}
 
 
-def next_message(buffer: Buffer) -> tuple[bytes, bytes] | Malformed | None:
+def next_message(buffer: Buffer, most: int = MESSAGE_MOST) -> tuple[bytes, bytes] | Malformed | None:
     """The next whole message as its type and its payload; None where more bytes are needed."""
     if len(buffer) < 5:
         return None
     length = int(_LENGTH.unpack(buffer.peek(4, 1))[0])
     if length < 4:
         return Malformed.LENGTH
-    if length > MESSAGE_MOST:
+    if length > most:
         return Malformed.OVERSIZE
     if len(buffer) < length + 1:
         return None
--- a/frostfall/protocol/pg_client.py
+++ b/frostfall/protocol/pg_client.py
@@ -2,14 +2,23 @@
 
 from __future__ import annotations
 
+import re
+import struct
 from dataclasses import dataclass
 from enum import Enum, auto
 
 from frostfall.protocol import pg
 from frostfall.protocol.buffer import Buffer
-from frostfall.protocol.pg import Malformed
+from frostfall.protocol.pg import READ_MOST, Malformed
 
 LOAD_PARAMETER = "vitals"
+BUFFER_MOST = pg.ANSWER_MOST + READ_MOST  # bytes: a whole message and the read that completes it
+_COLUMN = struct.Struct("!IHIhih")  # table, place, type, its length and modifier, format
+_VALUE = struct.Struct("!Hi")  # the row's columns, the value's length
+_BINARY = 1
+VALUE_MOST = 64 * 1024  # bytes: no value is larger, by the protocol
+_KINDS = b"TDCEZSNRK"  # the messages that an appliance may send
+_TAG = re.compile(rb"(?:SELECT|INSERT 0) 1\0\Z")
 
 
 class State(Enum):
@@ -51,7 +60,7 @@
         self.opening = pg.startup(user=user, database=database)
         self.state = State.STARTING
         self.answer: Answer | None = None
-        self._buffer = Buffer(pg.BUFFER_MOST)
+        self._buffer = Buffer(BUFFER_MOST)
         self._messages: list[bytes] = []
         self.load: str | None = None
 
@@ -72,13 +81,16 @@
         if not self._buffer.feed(data):
             self._break(Malformed.OVERSIZE)
         while self.state is not State.BROKEN:
-            message = pg.next_message(self._buffer)
+            if len(self._buffer) and self._buffer.peek(1) not in _KINDS:
+                return self._break(Malformed.TYPE)  # noise may look like the start of a long message
+            message = pg.next_message(self._buffer, pg.ANSWER_MOST)
             if message is None:
-                return
+                return None
             if isinstance(message, Malformed):
                 self._break(message)
             else:
                 self._take(*message)
+        return None
 
     def _break(self, why: Malformed) -> None:
         self.state = State.BROKEN
@@ -114,9 +126,33 @@
 
     def _row(self, kind: bytes, payload: bytes) -> None:
         # One RowDescription, one DataRow, CommandComplete; anything else is no answer.
-        if kind != (b"T", b"D", b"C")[len(self._messages)]:
+        place = len(self._messages)
+        if kind != (b"T", b"D", b"C")[place]:
             return self._break(Malformed.ORDER)
+        if not (_describes, _holds, _completes)[place](payload):
+            return self._break(Malformed.VALUE)
         self._messages.append(pg.frame(kind, payload))
         if kind == b"C":
             self.answer, self.state = Row(b"".join(self._messages)), State.ANSWERED
         return None
+
+
+def _describes(payload: bytes) -> bool:
+    """Whether it is a RowDescription of one column with a name, told in binary."""
+    name = payload.find(b"\0", 2)
+    if payload[:2] != b"\0\x01" or name < 0 or len(payload) != name + 1 + _COLUMN.size:
+        return False
+    return bool(_COLUMN.unpack(payload[name + 1:])[-1] == _BINARY)
+
+
+def _holds(payload: bytes) -> bool:
+    """Whether it is a DataRow of one value, not null, whose length fits."""
+    if len(payload) < _VALUE.size:
+        return False
+    columns, length = _VALUE.unpack(payload[:_VALUE.size])
+    return bool(columns == 1 and length == len(payload) - _VALUE.size and length <= VALUE_MOST)
+
+
+def _completes(payload: bytes) -> bool:
+    """Whether it is the CommandComplete of a statement that gave one row."""
+    return _TAG.match(payload) is not None
--- a/frostfall/protocol/statement.py
+++ b/frostfall/protocol/statement.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import re
 from dataclasses import dataclass
 
@@ -14,6 +13,8 @@
 _PAIR = re.compile(rb"\s*([A-Za-z_][\w.-]*)=([^\s,]*)\s*\Z")
 _ID = re.compile(rb"[0-9a-zA-Z_.:-]{1,64}\Z")
 _NUMBER = re.compile(rb"[0-9]{1,7}\Z")
+_LOAD = re.compile(r"\s*([a-z_]+)\s*=\s*([0-9]+(?:\.[0-9]+)?(?:[eE][-+]?[0-9]{1,2})?)\s*\Z", re.ASCII)
+LOAD_MOST = 1e6  # no load is larger, whatever its field: a report that says so has been spoilt
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,14 +66,11 @@
 
 
 def load_values(text: str) -> dict[str, float]:
-    """The values of a load report such as `inflight=7,util=0.61`; what cannot be read is left out."""
+    """The values of a load report such as `inflight=7,util=0.61`; none where a part of it cannot be read."""
     values: dict[str, float] = {}
     for part in text.split(","):
-        name, _, value = part.partition("=")
-        try:
-            number = float(value)
-        except ValueError:
-            continue
-        if math.isfinite(number):
-            values[name.strip()] = number
+        match = _LOAD.match(part)
+        if match is None or match[1] in values or float(match[2]) > LOAD_MOST:
+            return {}
+        values[match[1]] = float(match[2])
     return values
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -66,6 +66,7 @@
         for name in ("a1", "a2"):
             kind, payload = await client.ask(read(name))
             assert kind == b"D" and payload[6:] == value
+            await anyio.sleep(0.01)
         assert (await client.ask(write("a3", value=b"ab" * 65_536)))[0] == b"D"
         assert len(appliance.statements) == 3 and appliance.connections == 1
         got = appliance.statements[0]
--- a/tests/test_net_appliances.py
+++ b/tests/test_net_appliances.py
@@ -9,15 +9,17 @@
 
 import anyio
 import pytest
+from anyio.abc import ByteStream
 
 from frostfall.config import Address
 from frostfall.interface import Outcome
 from frostfall.net.appliances import Appliances, Attempt, Connection
 from frostfall.net.clock import Clock
 from frostfall.net.streams import Sockets
+from frostfall.protocol import pg
 from frostfall.protocol.ending import Ending, Progress
 from frostfall.protocol.pg_client import Row
-from tests.standins import LONG, Appliance, free_port, listening, row
+from tests.standins import LONG, Appliance, Reader, free_port, listening, row
 from tests.support import SETTINGS, S
 
 pytestmark = pytest.mark.anyio
@@ -98,6 +100,7 @@
     async with listening(appliance) as address:
         for _ in range(5):
             assert (await attempt(appliances, address)).outcome is Outcome.SUCCESS
+            await anyio.sleep(0.01)
         assert (appliance.connections, len(appliances)) == (1, 1)
         async with anyio.create_task_group() as group:
             for _ in range(4):
@@ -202,3 +205,67 @@
     ending, = ends
     assert not ending.outcome.never_ran
     assert len(appliances) == 0
+
+
+COPY = row(b"first") + pg.READY
+
+
+@pytest.mark.parametrize("extra", [COPY, b"\0\xff" * 9, pg.READY, b"E",
+                                   pg.frame(b"S", b"vitals\0\xff\xfe\0")])
+@pytest.mark.parametrize("pause", [0.0, 0.001])
+async def test_what_comes_right_behind_an_answer_is_never_the_next_ones(extra: bytes, pause: float) -> None:
+    count = 0
+
+    async def appliance(stream: ByteStream) -> None:
+        nonlocal count
+        reader = Reader(stream)
+        await reader.startup()
+        await stream.send(pg.frame(b"R", b"\0\0\0\0") + pg.READY)
+        while (await reader.message())[0] == b"Q":
+            count += 1
+            if count > 1:
+                await stream.send(row(b"second") + pg.READY)
+                continue
+            await stream.send(COPY + (b"" if pause else extra))
+            await anyio.sleep(pause)
+            if pause:
+                await stream.send(extra)
+
+    appliances = pool()
+    async with listening(appliance) as address:
+        first = await attempt(appliances, address)
+        second = await attempt(appliances, address)
+        assert first.answer == Row(row(b"first")) and second.answer == Row(row(b"second"))
+
+
+@pytest.mark.parametrize("spoilt", [
+    b"\x07\xffnoise" * 20,
+    b"D" + (3 << 30).to_bytes(4) + b"x" * 100_000,
+    b"D" + (2**32 - 1).to_bytes(4),
+    b"T\0\0\0\x03",
+    row(b"value")[:-10] + b"#" * 10,
+    row(b"value").replace(b"value", b"value more"),
+    pg.frame(b"T", b"") + pg.frame(b"D", b"\0\1\0\0\0\1v") + pg.frame(b"C", b"SELECT 1\0"),
+    b"x" * 2000])
+async def test_a_spoilt_answer_may_have_run_and_its_connection_closes_though_it_stays_open(
+        spoilt: bytes) -> None:
+    ended = anyio.Event()
+
+    async def appliance(stream: ByteStream) -> None:
+        reader = Reader(stream)
+        await reader.startup()
+        await stream.send(pg.frame(b"R", b"\0\0\0\0") + pg.READY)
+        await reader.message()
+        await stream.send(spoilt + pg.READY)
+        try:
+            await stream.receive()
+        finally:
+            ended.set()
+
+    appliances = pool()
+    async with listening(appliance) as address:
+        ending = await attempt(appliances, address, wait=2.0)
+        assert ending.outcome in (Outcome.RESET, Outcome.TIMED_OUT) and not ending.outcome.never_ran
+        assert len(appliances) == 0
+        with anyio.fail_after(LONG):
+            await ended.wait()
--- a/tests/test_net_platform.py
+++ b/tests/test_net_platform.py
@@ -170,3 +170,46 @@
         await told.until(3)
         assert desk.connections >= 3
         group.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("spoilt", [
+    b'{"jsonrpc":"2.0","method":"news","params":{"release":42,"tranche":1,"mode":"c####y","exposure":1,"old_ms":1}}\n',
+    b'{"jsonrpc":"2.0","method":"news","params":{"release":42,"tran####":1}}\n',
+    b'{"jsonrpc":"2.0","method":"n##s","params":{}}\n',
+    b"\xff\x00\n"])
+async def test_what_cannot_be_read_ends_the_connection_and_the_last_good_state_holds(spoilt: bytes) -> None:
+    connections, told = 0, Told()
+
+    async def desk(stream: ByteStream) -> None:
+        nonlocal connections
+        connections += 1
+        await stream.receive()
+        await say(stream, {"id": 1, "result": True})
+        await say(stream, {"method": "news", "params": STATE | {"tranche": connections}})
+        await stream.send(spoilt)
+        await stream.receive()  # it stays open on this side
+
+    async with listening(desk) as address, anyio.create_task_group() as group:
+        group.start_soon(Platform(address, S, told).run)
+        news = await told.until(2)
+        assert [state.stage for state in news] == [1, 2]
+        group.cancel_scope.cancel()
+
+
+async def test_a_part_of_a_line_that_trickles_on_counts_as_silence(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(driver, "SILENCE", 0.3)
+    connections, told = 0, Told()
+
+    async def desk(stream: ByteStream) -> None:
+        nonlocal connections
+        connections += 1
+        await say(stream, {"method": "news", "params": STATE})
+        while True:
+            await stream.send(b"{")
+            await anyio.sleep(0.05)
+
+    async with listening(desk) as address, anyio.create_task_group() as group:
+        group.start_soon(Platform(address, S, told).run)
+        await told.until(2)
+        assert connections == 2
+        group.cancel_scope.cancel()
