--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -20,14 +20,13 @@
 ALPHA, BETA, MARGIN = 0.05, 0.05, 0.05  # the design's: chances of a wrong 'on', 'back' (shared out); p1 - p0
 LATE_AIMS, LATE_TIMES, LATE_MARGIN = 1.5, 2.5, 0.2  # late is over so many aims, or usual times; its p1 - p0
 LATE_MEMORY, LATE_LEAST, LATE_PART = 5e5, 15.0, 0.33  # answers of the same moment, against the trial's too
-SETTLE, LEAST_POOLED = 5_000_000, 10  # the design: younger machines may be slow; outcomes that a vote needs
 PRIOR_BAD, PRIOR_WEIGHT = 0.01, 50.0  # p0 before outcomes, and how many outcomes it is worth: keeps p0 off 0
 LATE_MOST, LAST_MARGIN, LAST_TIME = 0.34, 0.4, 8_000_000  # of the way to 'back' in a round; calm times'
 FLAG_FLOOR, MEMORY = 0.003, 600.0  # disputes always reckoned with; pooled outcomes p0 remembers: counted
-VOTES_USE, LOGGED = 0.5, 3  # part of the platform's votes a second that is used, in turn; who logs its vote
+LEAST_POOLED, VOTES_USE, LOGGED = 10, 0.5, 3  # outcomes a vote needs; part of votes a second used; who logs
 LUCK, COLD_LEAST = 2.0, 1.0  # deviations of chance the cold budget keeps clear of; its least sends a second
 NEAR, NEAR_USES = 12, 4  # servers that an agent keeps to at least; sends that make a connection worth while
-SAMPLE, KEEN = 12, 4.0  # servers a request chooses among, in any fleet; with odds of cost to minus this power
+SAMPLE, KEEN = 6, 4.0  # servers a request chooses among, in any fleet; with odds of cost to minus this power
 EAGER = 0.25  # doublings of load by which a trial build is preferred; more with its part if old ones stay
 LEARN_ERRORS, LEARN_SLOW, LEARN_NORM, LEARN_MEAN = 0.15, 0.07, 0.05, 0.03  # weight of one outcome in a mean
 FORGET, STALE = 3_000_000, 500_000  # what is known of a server's speed, or its load, fades to the fleet's
@@ -38,7 +37,7 @@
 SHUN_FIRST, SHUN_MOST = 300_000, 4_000_000  # how long an unreachable server is left alone, doubling
 PROBE_SHARE, APART = 0.5, 200_000  # probes a request taken; of all agents' calls to discovery, served in turn
 SHED_UP, SHED_DOWN, SHED_MOST = 0.03, 0.01, 0.6  # part shed: up by each late answer, down by each timely one
-FILL, IDLE_FILL, IDLE_QUEUE, SPARE = 0.6, 1.2, 0.5, 0.3  # of the aim; if so few wait; kept for the worthiest
+FILL, IDLE_FILL, IDLE_QUEUE, SPARE = 0.6, 0.9, 0.5, 0.3  # of the aim; if so few wait; kept for the worthiest
 
 
 def partner(agent: int, agents: int, turn: int, turns: int) -> int:
@@ -181,9 +180,10 @@
                 or info.availability is not Availability.UP or self.servers.get(info.id) is not server):
             return False
         parallel = self.limits.parallel_attempts and kind.effect is Effect.SAFE
-        if any((earlier.outcome is None and not parallel)
-               or (earlier.may_have_run and not self._repeatable(kind, earlier, info)) for earlier in tries):
-            return False
+        for earlier in tries:
+            if (earlier.outcome is None and not parallel) or (
+                    earlier.may_have_run and not self._repeatable(kind, earlier, info)):
+                return False
         warm = self._age(server) >= self.rules.warm_up
         return self._within_exposure(request, info.build) and (warm or self._credit(server) >= 1)
 
@@ -302,11 +302,11 @@
             preferred = [s for s in options if self._wanted(request, s)] or options
             preferred = [s for s in preferred if s in urgent] or preferred
             # Danger: by late reports all rush to the server that looks idle; by none, to what is preferred.
-            informed = (sum(map(self._keen, preferred)) / len(preferred) - 1) / (KEEN - 1)
-            costs = [self._cost(request, s, informed) for s in preferred]
+            keen, loads = [self._keen(s) for s in preferred], [self._load(s) for s in preferred]
+            informed, mean = (sum(keen) / len(keen) - 1) / (KEEN - 1), sum(map(self._load, some)) / len(some)
+            costs = [self._cost(request, *each, informed) for each in zip(preferred, loads, keen)]
             usual = sorted(costs)[len(costs) // 2]
-            odds = [(cost / usual) ** -self._keen(s) for cost, s in zip(costs, preferred)]
-            mean = sum(map(self._load, some)) / len(some)
+            odds = [(cost / usual) ** -power for cost, power in zip(costs, keen)]
             self._send(request, self.random.choices(preferred, odds)[0], mean)
         elif self.now - request.arrived_at < request.kind.aim // 3:
             self.held[request.event.request] = request
@@ -344,12 +344,12 @@
         kept = math.exp((server.learned_at - self.now) / FORGET)
         return server.errors * kept, 1 + (server.slow - 1) * kept
 
-    def _cost(self, request: Request, server: Known, informed: float = 1.0) -> float:
-        info, cost = server.info, self._load(server)
+    def _cost(self, request: Request, server: Known, cost: float, keen: float, informed: float) -> float:
+        info = server.info  # its cost begins with its load
         # Danger: shunning a failing trial build would end the evidence on it, and shunning only the failing
         # machines of the earlier one would flatter p0. So a machine is held against others of its build.
         norm, (errors, slow) = self.norms[info.build], self._faded(server)
-        keen = self._keen(server)  # what was seen of its health fades by itself, and always counts in full
+        # What was seen of its health fades by itself, and always counts in full.
         cost *= math.pow(slow / norm[1] / (1.0 - min(max(errors - norm[0], 0.0), 0.9)) ** 2, KEEN / keen)
         trial = self.test if self.test and info.build == self.test.key[0] else None
         cost *= 2.0 ** -(self.eager * informed * (1 + min(trial.lean, 1.0))) if trial else 1.0
@@ -502,7 +502,7 @@
     def _judge(self, request: Request, attempt: Attempt, event: api.AttemptEnded) -> None:
         server = attempt.server
         test, build, failed, late = self.test, server.info.build, event.outcome is Outcome.ERROR, None
-        settled = attempt.sent_at - server.info.started_at >= SETTLE  # a cold machine is slow
+        settled = attempt.sent_at - server.info.started_at >= self.rules.warm_up  # a cold machine is slow
         # Danger: a server that has said nothing since is lost or cut off; that tells nothing of its build.
         slow = event.outcome is Outcome.TIMED_OUT and server.heard_at > attempt.sent_at and settled
         if build == self.gone or (not slow and event.outcome not in (Outcome.SUCCESS, Outcome.ERROR)):
--- a/frostfall/net/agent.py
+++ b/frostfall/net/agent.py
@@ -34,6 +34,7 @@
 LINGER = 0.7  # seconds after the order to stop in which new connections may still come, by the protocol
 CLIENTS_PART = 2  # of the descriptors: clients hold a third of all for requests, and some say nothing
 UNREAD_PART = 8  # of the memory: what all clients together may have sent that is not read out yet
+GARBAGE_EVERY = 10_000  # containers more than have gone: some hundred requests under way hold fewer
 NEEDS_RESTART = ("name", "listen", "limits", "peer_listen", "peers", "peers_all", "settings", "log_level")
 HEALTH_EVERY = 5.0  # seconds between log lines on the agent's own health
 
@@ -288,6 +289,7 @@
             group.start_soon(self._stop)
             gc.collect()
             gc.freeze()  # what the start left stays for good, so that collections need not go through it
+            gc.set_threshold(GARBAGE_EVERY)
             limits = self._config.limits
             _log.info("listening", address=str(self._config.listen), cores=limits.cores,
                       memory_mb=limits.memory_mb, sockets=limits.sockets)
--- a/frostfall/net/clients.py
+++ b/frostfall/net/clients.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
+from time import monotonic
 from typing import Any, Protocol
 
 import anyio
@@ -49,7 +50,7 @@
     def __init__(self, stream: Stream, front: Front, owner: Clients, crowded: bool = False) -> None:
         """Serve this stream; a crowded one gets one answer, a refusal."""
         self.crowded = crowded
-        self.opened = anyio.current_time()
+        self.opened = monotonic()
         self.request: str | None = None  # the request that waits for its answer
         self.draining = crowded
         self.held = 0  # bytes unread
@@ -86,7 +87,7 @@
         """Give the final answer to the query that waits; the next one is then read."""
         self.request = None
         self._served = True
-        self._used = anyio.current_time()
+        self._used = monotonic()
         self._machine.answered()
         self._say(data, last=self.draining and not self._machine.buffered)
         self._answered.set()
@@ -104,7 +105,7 @@
         """Whether it is idle and may be closed before its time."""
         # Danger: a client sends a request that crossed a close once more and not again. Closed before it has
         # got an answer, the connection that carries it would lose it.
-        return self.idle and (self._served or anyio.current_time() - self.opened > QUIET)
+        return self.idle and (self._served or monotonic() - self.opened > QUIET)
 
     @property
     def silent(self) -> bool:
@@ -158,7 +159,7 @@
                 return
         if data:
             if not self._out:
-                self._out_since, self._flushed = anyio.current_time(), anyio.Event()
+                self._out_since, self._flushed = monotonic(), anyio.Event()
                 self._owner.later(self._flush)
             self._out += data
         if last and not self._last:
@@ -232,7 +233,7 @@
                 while self._machine.busy:
                     await self._caught_up()
                 return True
-            self._used = anyio.current_time()
+            self._used = monotonic()
             self._machine.feed(data)
             await self._go_on()
             if not self._machine.busy and self._machine.buffered > SMALL and self._owner.over:
@@ -412,7 +413,7 @@
     def _push_out(self) -> bool:
         """Close the connection that has said nothing for longest, unless it is fresh."""
         oldest = next(iter(self._silent), None)
-        if oldest is None or anyio.current_time() - oldest.opened <= FRESH:
+        if oldest is None or monotonic() - oldest.opened <= FRESH:
             return False
         oldest.end()
         return True
@@ -420,7 +421,7 @@
     async def _sweep(self) -> None:
         while True:
             await anyio.sleep(SWEEP)
-            now, short = anyio.current_time(), len(self._open) > self._most * SHORT_PART
+            now, short = monotonic(), len(self._open) > self._most * SHORT_PART
             for client in list(self._open):
                 client.expire(now, short, self._longest)
 
--- a/frostfall/protocol/buffer.py
+++ b/frostfall/protocol/buffer.py
@@ -30,6 +30,15 @@
         first = self._start + offset
         return bytes(self._bytes[first:first + count])
 
+    def number(self, offset: int) -> int:
+        """The four unread bytes at an offset, which must be there, as a number."""
+        first = self._start + offset
+        return int.from_bytes(self._bytes[first:first + 4])
+
+    def first(self) -> int:
+        """The first unread byte, which must be there."""
+        return self._bytes[self._start]
+
     def take(self, count: int) -> bytes:
         """The next bytes, which must be there."""
         data = bytes(self._bytes[self._start:self._start + count])
--- a/frostfall/protocol/pg.py
+++ b/frostfall/protocol/pg.py
@@ -67,14 +67,15 @@
 
 def next_message(buffer: Buffer, most: int = MESSAGE_MOST) -> tuple[bytes, bytes] | Malformed | None:
     """The next whole message as its type and its payload; None where more bytes are needed."""
-    if len(buffer) < 5:
+    unread = len(buffer)
+    if unread < 5:
         return None
-    length = int(_LENGTH.unpack(buffer.peek(4, 1))[0])
+    length = buffer.number(1)
     if length < 4:
         return Malformed.LENGTH
     if length > most:
         return Malformed.OVERSIZE
-    if len(buffer) < length + 1:
+    if unread < length + 1:
         return None
     message = buffer.take(length + 1)
     return message[:1], message[5:]
--- a/frostfall/protocol/pg_client.py
+++ b/frostfall/protocol/pg_client.py
@@ -81,7 +81,9 @@
         if not self._buffer.feed(data):
             self._break(Malformed.OVERSIZE)
         while self.state is not State.BROKEN:
-            if len(self._buffer) and self._buffer.peek(1) not in _KINDS:
+            if not len(self._buffer):
+                return None
+            if self._buffer.first() not in _KINDS:
                 return self._break(Malformed.TYPE)  # noise may look like the start of a long message
             message = pg.next_message(self._buffer, pg.ANSWER_MOST)
             if message is None:
