--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -291,16 +291,16 @@
         # Danger: hundreds of agents that connect to every server fill its table, and learn nothing of any by
         # a request now and then. So each keeps to as many as its traffic keeps connected, in random order.
         worth = int(self._served() * self.limits.connection_idle / 1e6 / NEAR_USES)
-        near = [s for s in self.fleet if s.shunned_until <= self.now][:max(NEAR, worth)]
+        room, now, may = self._room(request), self.now, self._may_send
+        near = [s for s in self.fleet if (room or self.probing) and s.shunned_until <= now][:max(NEAR, worth)]
         some = near if len(near) <= SAMPLE else self.random.sample(near, SAMPLE)
         # Danger: a build's first machines are near few agents. What their cold budget leaves is used at once.
         urgent = [s for s in self.trials if self._age(s) < self.rules.warm_up] if self._short() else []
-        options = [s for s in (*urgent, *some) if s.shunned_until <= self.now and self._may_send(request, s)
-                   ] if self._room(request) else []
+        options = [s for s in (*urgent, *some) if room and s.shunned_until <= now and may(request, s)]
         if options:
             self.held.pop(request.event.request, None)
-            preferred = [s for s in options if self._wanted(request, s)] or options
-            preferred = [s for s in preferred if s in urgent] or preferred
+            wanted = [s for s in options if self._wanted(request, s)] or options
+            preferred = [s for s in wanted if s in urgent] or wanted
             # Danger: by late reports all rush to the server that looks idle; by none, to what is preferred.
             keen, loads = [self._keen(s) for s in preferred], [self._load(s) for s in preferred]
             informed, mean = (sum(keen) / len(keen) - 1) / (KEEN - 1), sum(map(self._load, some)) / len(some)
@@ -308,7 +308,8 @@
             usual = sorted(costs)[len(costs) // 2]
             odds = [(cost / usual) ** -power for cost, power in zip(costs, keen)]
             self._send(request, self.random.choices(preferred, odds)[0], mean)
-        elif self.now - request.arrived_at < request.kind.aim // 3:
+        elif now - request.arrived_at < request.kind.aim // 3 and (  # as many as can be served by then
+                len(self.held) < NEAR + self._served() * request.kind.aim / 3e6):
             self.held[request.event.request] = request
             if not self.holding:
                 self.holding = True
@@ -348,8 +349,7 @@
         info = server.info  # its cost begins with its load
         # Danger: shunning a failing trial build would end the evidence on it, and shunning only the failing
         # machines of the earlier one would flatter p0. So a machine is held against others of its build.
-        norm, (errors, slow) = self.norms[info.build], self._faded(server)
-        # What was seen of its health fades by itself, and always counts in full.
+        norm, (errors, slow) = self.norms[info.build], self._faded(server)  # fades by itself: counts in full
         cost *= math.pow(slow / norm[1] / (1.0 - min(max(errors - norm[0], 0.0), 0.9)) ** 2, KEEN / keen)
         trial = self.test if self.test and info.build == self.test.key[0] else None
         cost *= 2.0 ** -(self.eager * informed * (1 + min(trial.lean, 1.0))) if trial else 1.0
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -8,6 +8,7 @@
 import pytest
 
 from frostfall import interface as api
+from frostfall.brain import NEAR
 from frostfall.state import Request
 from tests.support import KEYED, SAFE, SETTINGS, UNSAFE, Agent, S, answers, limits, rollout, sends, server
 
@@ -377,3 +378,12 @@
     for _ in range(100):
         brain._report(brain.fleet[0], api.Load(held=9.0, queued=4.0))
     assert not brain._room(request)
+
+
+def test_no_more_wait_for_room_than_can_be_served_by_then() -> None:
+    agent = Agent(SETTINGS, *(server(n) for n in range(4)))
+    agent.brain.open = 1000  # no room
+    ends = [answers(agent.ask()) for _ in range(50)]
+    assert [bool(end) for end in ends] == [False] * NEAR + [True] * (50 - NEAR)
+    assert all(isinstance(end[0], api.Refuse) for end in ends if end)
+    assert len(agent.brain.held) == NEAR
