--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -1,7 +1,4 @@
-"""Every decision of frostfall. Its events, actions and settings are in frostfall/interface.py.
-
-Sans-I/O: clock and event in, actions out. An instance shares nothing and draws random numbers from its seed.
-"""
+"""Every decision of frostfall, sans-I/O. Events, actions and settings are in frostfall/interface.py."""
 
 from __future__ import annotations
 
@@ -13,17 +10,18 @@
 
 from frostfall import interface as api
 from frostfall.interface import Availability, Effect, Outcome, Phase, Verdict, VoteReply
-from frostfall.linalg import divergence, evidence, mixing_rate, round_length, threshold
+from frostfall.linalg import divergence, evidence, mixing_rate, partner, round_length, threshold
 from frostfall.state import Attempt, Ballot, Exchange, Known, Request, Test
 
 TICK, HOLD = 100_000, 50_000  # in us: one exchange, over a message's way; how often a held request is tried
 ALPHA, BETA, MARGIN = 0.05, 0.05, 0.05  # the design's: chances of a wrong 'on', 'back' (shared out); p1 - p0
 LATE_AIMS, LATE_TIMES, LATE_MARGIN = 1.5, 2.5, 0.2  # late is over so many aims, or usual times; its p1 - p0
-LATE_MEMORY, LATE_LEAST, LATE_PART = 5e5, 15.0, 0.33  # answers of the same moment, against the trial's too
+LATE_MEMORY, LATE_LEAST, LATE_PART, LATE_CALM = 5e5, 15.0, 0.33, 0.25  # of the moment, the trial's too; calm
 PRIOR_BAD, PRIOR_WEIGHT = 0.01, 50.0  # p0 before outcomes, and how many outcomes it is worth: keeps p0 off 0
 LATE_MOST, LAST_MARGIN, LAST_TIME = 0.34, 0.4, 8_000_000  # of the way to 'back' in a round; calm times'
 FLAG_FLOOR, MEMORY = 0.003, 600.0  # disputes always reckoned with; pooled outcomes p0 remembers: counted
 LEAST_POOLED, VOTES_USE, LOGGED = 10, 0.5, 3  # outcomes a vote needs; part of votes a second used; who logs
+SETTLE, ALONE = 5_000_000, 0.2  # younger machines may be slow; others' failures against one's
 LUCK, COLD_LEAST = 2.0, 1.0  # deviations of chance the cold budget keeps clear of; its least sends a second
 NEAR, NEAR_USES = 12, 4  # servers that an agent keeps to at least; sends that make a connection worth while
 SAMPLE, KEEN = 6, 4.0  # servers a request chooses among, in any fleet; with odds of cost to minus this power
@@ -40,12 +38,6 @@
 FILL, IDLE_FILL, IDLE_QUEUE, SPARE = 0.6, 0.9, 0.5, 0.3  # of the aim; if so few wait; kept for the worthiest
 
 
-def partner(agent: int, agents: int, turn: int, turns: int) -> int:
-    """Whom an agent exchanges with in a turn: i with c - i, maybe itself."""
-    # c moves on by 1, 2, 4 ... from a hashed start: a round spreads what each agent has over all.
-    return (crc32(b"%d" % (turn // turns)) + (1 << turn % turns) - agent) % agents
-
-
 class Brain:
     """One agent."""
 
@@ -84,7 +76,7 @@
     def start(self, now: int) -> list[api.Action]:
         """The first actions of a new instance."""
         self.now, self.actions = now, []
-        self._act(api.SetTimer(TICK - now % TICK, "tick"))  # by the clock, so that agents exchange in step
+        self.actions.append(api.SetTimer(TICK - now % TICK, "tick"))  # by the clock: agents exchange in step
         # Danger: hundreds of agents that start together and ask at once are turned away.
         self.ask_at = now + self.random.randrange(min(self.agents * APART, self.rules.ask_within) // 5 + 1)
         return self.actions
@@ -95,9 +87,6 @@
         self.handlers.get(type(event), lambda _: None)(event)
         return self.actions
 
-    def _act(self, action: api.Action) -> None:
-        self.actions.append(action)
-
     def _timer(self, event: api.TimerFired) -> None:
         if event.token == "tick":
             self._tick()
@@ -206,10 +195,8 @@
 
     def _within_exposure(self, request: Request, build: int) -> bool:
         rollout, news = self.rollout, self.news
-        if rollout is None:
-            return True
-        if news is None:  # not told yet what is on trial: only the lowest build cannot be
-            return build == min(s.info.build for s in self.servers.values())
+        if rollout is None or news is None:  # not told yet what is on trial: only the lowest build cannot be
+            return rollout is None or build == min(s.info.build for s in self.servers.values())
         if rollout.one_way and news.phase in (Phase.TRIAL, Phase.RELEASED) and (
                 build < self.answered_by.get(request.event.key or "", 0)):
             return False
@@ -241,7 +228,7 @@
         self.open += 1
         request.attempts.append(Attempt(server, self.now, max(1.0, self._load(server) / mean)))
         server.out[name, len(request.attempts) - 1] = self.now
-        self._act(api.SendAttempt(name, server.info.id, self._timeout(request)))
+        self.actions.append(api.SendAttempt(name, server.info.id, self._timeout(request)))
 
     def _give_up(self, request: Request) -> None:
         if request.done or request.streaming:
@@ -249,13 +236,13 @@
         self._cancel(request)
         wait = min(self.limits.max_retry_after, request.kind.aim // 2) * self.limits.retry_after
         name = request.event.request
-        self._act(api.Refuse(name, wait) if self._may_refuse(request) else api.Fail(name))
+        self.actions.append(api.Refuse(name, wait) if self._may_refuse(request) else api.Fail(name))
         self._close(request)
 
     def _cancel(self, request: Request) -> None:
         for number, attempt in enumerate(request.attempts):
             if attempt.outcome is None and self.limits.may_cancel and not request.streaming:
-                self._act(api.CancelAttempt(request.event.request, number))
+                self.actions.append(api.CancelAttempt(request.event.request, number))
 
     def _close(self, request: Request) -> None:
         request.done = True
@@ -274,18 +261,19 @@
         self.probe_tokens = min(self.probe_tokens + PROBE_SHARE, 2.0)
         mean = self.mean_hint.get(kind.name, float(event.hint or 0))
         self.mean_hint[kind.name] = mean + LEARN_MEAN * ((event.hint or mean) - mean)
-        self._act(api.SetTimer(max(left - ANSWER_EARLY, 0), event.request))
+        self.actions.append(api.SetTimer(max(left - ANSWER_EARLY, 0), event.request))
         # Danger: an agent with little open cannot see by its count that all is overloaded; late answers tell.
         shed = self.shed ** (2 * kind.worth / max(self.best, 1e-9)) if self.shed else 0.0
         (self._give_up if self.random.random() < shed else self._place)(request)
 
     def _room(self, request: Request) -> bool:
-        # Danger: when more is asked than can be served, all answers come late. So no more is kept open than
-        # is served in a part of the aim (Little's law), and the least worthy class finds no room first. Where
-        # nothing waits, answers that take that long are slow themselves, and refusals would lower the bound.
-        fill = IDLE_FILL if self.queue < IDLE_QUEUE else FILL
-        fit = max(self._served() * fill * request.kind.aim / 1e6 + 2, len(self.servers) / 2)
-        return self.open < fit * (1 - SPARE + SPARE * request.kind.worth / max(self.best, 1e-9))
+        # Danger: when more is asked than can be served, all come late. No more is kept open than is served
+        # (Little's law) in what answers may take on the mean: a part of each class's aim, as long as its own
+        # answers take less. The least worthy finds no room first. Where nothing waits, answers are slow.
+        kind, fill = request.kind, IDLE_FILL if self.queue < IDLE_QUEUE else FILL
+        part = self.mean_time.get(kind.name, self.usual) / self.usual if self.usual else 1.0
+        fit = max(self._served() * fill * kind.aim / max(part, 0.3) / 1e6 + 2, len(self.servers) / 2)
+        return self.open < fit * (1 - SPARE + SPARE * kind.worth / max(self.best, 1e-9))
 
     def _place(self, request: Request) -> None:
         # Danger: hundreds of agents that connect to every server fill its table, and learn nothing of any by
@@ -313,13 +301,13 @@
             self.held[request.event.request] = request
             if not self.holding:
                 self.holding = True
-                self._act(api.SetTimer(HOLD, "hold"))
+                self.actions.append(api.SetTimer(HOLD, "hold"))
         else:
             self._give_up(request)
         if self.probing and self.probe_tokens >= 1 and some:
             oldest = min(some, key=lambda s: s.probed_at)
             oldest.probed_at, self.probe_tokens = self.now, self.probe_tokens - 1
-            self._act(api.ProbeServer(oldest.info.id))
+            self.actions.append(api.ProbeServer(oldest.info.id))
 
     def _short(self) -> bool:
         return self.test is not None and self.test.count * self._pool(self.test) < LEAST_POOLED
@@ -475,8 +463,8 @@
 
     def _p0_late(self, test: Test) -> float | None:  # the earlier build's share of late answers now
         answers, late = (number * self._pool(test) for number in test.recent)
-        # Danger: what is left of an earlier build that leaves is idle; all of the trial is late against it.
-        enough = answers >= LATE_LEAST and test.timed[0] >= LATE_PART * test.timed[2]
+        # Danger: what is left of an earlier build that leaves is idle; in an overload load tells who is late.
+        enough = LATE_LEAST <= answers > late / LATE_CALM and test.timed[0] >= LATE_PART * test.timed[2]
         return min((late + 1) / (answers + 10), 0.9 - LATE_MARGIN) if enough else None
 
     def _pool(self, test: Test) -> float:  # how many agents' numbers the mixed ones are the mean of
@@ -502,7 +490,7 @@
     def _judge(self, request: Request, attempt: Attempt, event: api.AttemptEnded) -> None:
         server = attempt.server
         test, build, failed, late = self.test, server.info.build, event.outcome is Outcome.ERROR, None
-        settled = attempt.sent_at - server.info.started_at >= self.rules.warm_up  # a cold machine is slow
+        settled = attempt.sent_at - server.info.started_at >= SETTLE  # a cold machine is slow
         # Danger: a server that has said nothing since is lost or cut off; that tells nothing of its build.
         slow = event.outcome is Outcome.TIMED_OUT and server.heard_at > attempt.sent_at and settled
         if build == self.gone or (not slow and event.outcome not in (Outcome.SUCCESS, Outcome.ERROR)):
@@ -524,6 +512,14 @@
             facts = (failed, None, None if failed else False)  # lateness is judged in the step
             for k, (bad, stream) in enumerate(zip(facts, self._streams(test, request.kind.name))):
                 test.innovation[k] += evidence(bad, *stream) if bad is not None and stream else 0.0
+            server.tried, server.failed = server.tried + 1, server.failed + failed
+            # Danger: of few machines on trial, one that fails by itself would send a good build back.
+            others, name = [s for s in self.trials if s is not server], server.info.id
+            tried, poor = sum(s.tried for s in others), sum(s.failed for s in others)
+            if failed:
+                blame = evidence(True, self._p0(test, request.kind.name), MARGIN) + test.blame.pop(name, 0.0)
+                alone = tried >= LEAST_POOLED and poor * server.tried < ALONE * (server.failed - 2) * tried
+                test.innovation[0], test.blame[name] = test.innovation[0] - blame * alone, blame * (not alone)
 
     def _disputed(self, event: api.AnswerDisputed) -> None:
         # Danger: a wrong answer counts as a good one when it comes; only a flag tells, and some flags err.
@@ -544,10 +540,10 @@
             test.heard = told.numbers
 
     def _tick(self) -> None:
-        self._act(api.SetTimer(TICK - self.now % TICK, "tick"))
+        self.actions.append(api.SetTimer(TICK - self.now % TICK, "tick"))
         if self.set.must_subscribe and self.now >= self.ask_at:
             self.ask_at = self.now + max(self.rules.ask_within, self.agents * APART)
-            self._act(api.Subscribe())
+            self.actions.append(api.Subscribe())
         test, me, last, self.turn = self.test, self.set.agent, self.turn, self.now // TICK
         if test is None or self.rollout is None:
             return
@@ -559,7 +555,7 @@
         if self.turn % self.turns == 0:
             self._step(test, self.rollout)
         if (peer := partner(me, self.agents, self.turn, self.turns)) != me and self.limits.peers:
-            self._act(api.TellPeer(peer, Exchange(*test.key, self.turn, test.mix).encode()))
+            self.actions.append(api.TellPeer(peer, Exchange(*test.key, self.turn, test.mix).encode()))
         self._cast(test, self.rollout)
 
     def _step(self, test: Test, rollout: api.Rollout) -> None:
@@ -614,10 +610,10 @@
         if self.now < test.decided_at + place * 1e6 / max(desk.votes_per_second * VOTES_USE, 1e-3):
             return
         if verdict is not stands and place < LOGGED:
-            n, pooled = self.agents, test.count * self._pool(test)
+            n, pooled, p0 = self.agents, test.count * self._pool(test), self._p0(test, None)
             scores = ", ".join(f"{n * score:.2f} in {n * lower:.2f}..{n * upper:.2f}"
                                for score, (upper, lower) in zip(test.score, self._bands(test)))
-            self._act(api.Log(f"vote {verdict.name} build {test.key[0]} stage {test.key[1]}: failures, late, "
-                              f"disputes {scores}, {pooled:.0f} outcomes, p0 {self._p0(test, None):.3f}"))
-        self._act(api.CastVote(test.key[0], max(test.key[1], 0), verdict))
+            text = f"vote {verdict.name} build {test.key[0]} stage {test.key[1]}: failures, late, disputes"
+            self.actions.append(api.Log(f"{text} {scores}, {pooled:.0f} outcomes, p0 {p0:.3f}"))
+        self.actions.append(api.CastVote(test.key[0], max(test.key[1], 0), verdict))
         self.ballot = Ballot(verdict, test.key, self.now + max(desk.vote_life * 3 // 4, desk.vote_timeout))
--- a/frostfall/linalg.py
+++ b/frostfall/linalg.py
@@ -1,6 +1,7 @@
 """The arithmetic that the test needs; it decides nothing."""
 
 import math
+from zlib import crc32
 
 
 def mixing_rate(agents: int, exchanges: int) -> float:
@@ -40,3 +41,9 @@
     k = agents * r * r
     miss = -math.expm1(-agents * max(m, 1e-6) / (4 * (k + 1)))  # m near 0 would ask for an endless band
     return 8 * (k + 1) / (7 * agents) * (math.log(2 / error) - math.log(miss))
+
+
+def partner(agent: int, agents: int, turn: int, turns: int) -> int:
+    """Whom an agent exchanges with in a turn: i with c - i, maybe itself."""
+    # c moves on by 1, 2, 4 ... from a hashed start: a round spreads what each agent has over all.
+    return (crc32(b"%d" % (turn // turns)) + (1 << turn % turns) - agent) % agents
--- a/frostfall/net/clients.py
+++ b/frostfall/net/clients.py
@@ -344,15 +344,13 @@
     async def run(self, listener: socket.socket) -> None:
         """Serve each connection in a task of its own, until stopped and all have ended."""
         try:
-            async with anyio.create_task_group() as group:
-                self._group = group
-                group.start_soon(self._sweep)
-                with anyio.CancelScope() as self._accepting:
-                    await self._accept(listener, group)
-                listener.close()
-                while self._open:
-                    await anyio.sleep(0.01)
-                group.cancel_scope.cancel()
+            async with anyio.create_task_group() as self._group:
+                self._group.start_soon(self._sweep)
+                async with anyio.create_task_group() as group:
+                    with anyio.CancelScope() as self._accepting:
+                        await self._accept(listener, group)
+                    listener.close()
+                self._group.cancel_scope.cancel()
         finally:
             listener.close()
 
@@ -367,7 +365,7 @@
                 except (BlockingIOError, ConnectionAbortedError):
                     break
                 except OSError as error:
-                    _log.warning("cannot accept", why=repr(error))
+                    self.malformed[f"cannot accept: {error.strerror}"] += 1
                     await anyio.sleep(PAUSE)
                     break
                 # Danger: a request counts as taken while its connection still waits to be accepted. So none
--- a/frostfall/state.py
+++ b/frostfall/state.py
@@ -32,6 +32,7 @@
     met: float = 0.0  # the same of the last round, and those that did not, here or on the mean of all
     missed: float = 0.0
     steps: int = 0
+    blame: dict[int, float] = field(default_factory=dict)  # by server: what its failures have added
     lean: float = 0.0  # the worst score's place in its band
     verdict: Verdict = Verdict.NONE
     decided_at: int = 0
@@ -93,6 +94,8 @@
     probed_at: int = 0
     credit: float = 0.0  # sends that the cold budget allowed when it was last reckoned
     credit_at: int = 0
+    tried: int = 0  # outcomes of it on trial, and failures among them
+    failed: int = 0
 
 
 @dataclass(slots=True)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -387,3 +387,20 @@
     assert [bool(end) for end in ends] == [False] * NEAR + [True] * (50 - NEAR)
     assert all(isinstance(end[0], api.Refuse) for end in ends if end)
     assert len(agent.brain.held) == NEAR
+
+
+def test_a_class_with_short_answers_and_a_short_aim_has_no_less_room_for_that() -> None:
+    short = replace(UNSAFE, aim=S // 4, worth=3.0)
+    agent = Agent(replace(SETTINGS, classes=(SAFE, short)), *(server(n) for n in range(4)))
+    brain = agent.brain
+    brain.rate, brain.rate_at = 100.0, brain.now
+    brain.usual, brain.mean_time = 100_000.0, {SAFE.name: 125_000.0, short.name: 25_000.0}
+
+    def most(kind: api.RequestClass) -> int:
+        request = Request(api.RequestArrived("q", kind.name, brain.now + S), kind, brain.now)
+        brain.open = 0
+        while brain._room(request):
+            brain.open += 1
+        return brain.open
+
+    assert most(short) > most(SAFE) > 10
