--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -25,7 +25,7 @@
 LUCK, COLD_LEAST = 2.0, 1.0  # deviations of chance the cold budget keeps clear of; its least sends a second
 NEAR, NEAR_USES = 12, 4  # servers that an agent keeps to at least; sends that make a connection worth while
 SAMPLE, KEEN = 6, 4.0  # servers a request chooses among, in any fleet; with odds of cost to minus this power
-EAGER = 0.25  # doublings of load by which a trial build is preferred; more with its part if old ones stay
+EAGER, EACH = 0.25, 1.5  # doublings of load by which a trial is preferred; requests a server has room for
 LEARN_ERRORS, LEARN_SLOW, LEARN_NORM, LEARN_MEAN = 0.15, 0.07, 0.05, 0.03  # weight of one outcome in a mean
 FORGET, STALE = 3_000_000, 500_000  # what is known of a server's speed, or its load, fades to the fleet's
 RATE_MEMORY, TRUST = 2_000_000, 1_000_000  # served is counted over so long; how long odds lean on a report
@@ -272,7 +272,8 @@
         # answers take less. The least worthy finds no room first. Where nothing waits, answers are slow.
         kind, fill = request.kind, IDLE_FILL if self.queue < IDLE_QUEUE else FILL
         part = self.mean_time.get(kind.name, self.usual) / self.usual if self.usual else 1.0
-        fit = max(self._served() * fill * kind.aim / max(part, 0.3) / 1e6 + 2, len(self.servers) / 2)
+        fit = max(self._served() * fill * kind.aim / max(part, 0.3) / 1e6 + 2, len(self.servers) / 2,
+                  len(self.fleet) * (EACH - self.others))  # servers that hold so little, by their reports
         return self.open < fit * (1 - SPARE + SPARE * kind.worth / max(self.best, 1e-9))
 
     def _place(self, request: Request) -> None:
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -404,3 +404,12 @@
         return brain.open
 
     assert most(short) > most(SAFE) > 10
+
+
+def test_there_is_room_while_servers_hold_few_requests_each() -> None:
+    brain = Agent(SETTINGS, *(server(n) for n in range(10))).brain
+    request = Request(api.RequestArrived("q", UNSAFE.name, brain.now + S), UNSAFE, brain.now)
+    brain.open, brain.others = 10, 0.2  # nothing served of late, one request and a bit on each server
+    assert brain._room(request)
+    brain.others = 1.0
+    assert not brain._room(request)
