--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -267,8 +267,8 @@
         (self._give_up if self.random.random() < shed else self._place)(request)
 
     def _room(self, request: Request) -> bool:
-        # Danger: when more is asked than can be served, all come late. No more is open than is served (Little's
-        # law) in what answers may take, by a class's aim and its own times; the least worthy finds no room first.
+        # Danger: when more is asked than can be served, all come late. So no more is open than is served in
+        # what answers may take (Little's law), by a class's aim and own times; the least worthy wait first.
         kind, fill = request.kind, IDLE_FILL if self.queue < IDLE_QUEUE else FILL
         part = self.mean_time.get(kind.name, self.usual) / self.usual if self.usual else 1.0
         fit = max(self._served() * fill * kind.aim / max(part, 0.3) / 1e6 + 2, len(self.servers) / 2,
