--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -513,10 +513,9 @@
             for k, (bad, stream) in enumerate(zip(facts, self._streams(test, request.kind.name))):
                 test.innovation[k] += evidence(bad, *stream) if bad is not None and stream else 0.0
             server.tried, server.failed = server.tried + 1, server.failed + failed
-            # Danger: of few machines on trial, one that fails by itself would send a good build back.
-            others, name = [s for s in self.trials if s is not server], server.info.id
-            tried, poor = sum(s.tried for s in others), sum(s.failed for s in others)
-            if failed:
+            if failed:  # Danger: of few machines on trial, one that fails alone would send a good build back.
+                others, name = [s for s in self.trials if s is not server], server.info.id
+                tried, poor = sum(s.tried for s in others), sum(s.failed for s in others)
                 blame = evidence(True, self._p0(test, request.kind.name), MARGIN) + test.blame.pop(name, 0.0)
                 alone = tried >= LEAST_POOLED and poor * server.tried < ALONE * (server.failed - 2) * tried
                 test.innovation[0], test.blame[name] = test.innovation[0] - blame * alone, blame * (not alone)
--- a/frostfall/net/clients.py
+++ b/frostfall/net/clients.py
@@ -15,7 +15,7 @@
 
 from frostfall import log
 from frostfall.config import Address
-from frostfall.net.streams import ENDED, Sockets, Stream
+from frostfall.net.streams import ENDED, Sockets, Stream, unconnected
 from frostfall.protocol import pg, pg_server
 from frostfall.protocol.pg_server import Closed, Query, Reply, ServerSide
 
@@ -107,11 +107,6 @@
         # got an answer, the connection that carries it would lose it.
         return self.idle and (self._served or monotonic() - self.opened > QUIET)
 
-    @property
-    def silent(self) -> bool:
-        """Whether it has brought no whole query yet."""
-        return not self._asked
-
     def drain(self) -> None:
         """End once the answer is given, or at once where it may be closed."""
         self.draining = True
@@ -254,13 +249,11 @@
 
 def listen(address: Address) -> socket.socket:
     """Listen on this address only; OSError where that cannot be."""
-    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener = unconnected(address)
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind((address.host, address.port))
         listener.listen(BACKLOG)
-        listener.setblocking(False)
     except OSError:
         listener.close()
         raise
--- a/frostfall/net/platform.py
+++ b/frostfall/net/platform.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
 
 import anyio
 from anyio.abc import TaskGroup
@@ -111,7 +110,10 @@
             case rpc.Unreadable(why):
                 return why
             case rpc.Notification(news.NEWS, params):
-                return self._tell(params, VoteReply.NONE)
+                state = news.read(params, VoteReply.NONE)
+                if isinstance(state, str):
+                    return state
+                self._told(state)
             case rpc.Notification(method, _):
                 return None if method == news.PING else f"an unknown notification {method[:20]!r}"
             case rpc.Result(number, value) if (vote := self._out.get(number)):
@@ -125,13 +127,6 @@
                 vote.done.set()
         return None
 
-    def _tell(self, value: Any, reply: VoteReply) -> str | None:
-        state = news.read(value, reply)
-        if isinstance(state, str):
-            return state
-        self._told(state)
-        return None
-
     async def _vote(self, action: CastVote) -> None:
         """Carry one vote through; `reply` follows how far it had come."""
         vote, number, reply = _Vote(), self._next(), VoteReply.ERROR
--- a/frostfall/net/streams.py
+++ b/frostfall/net/streams.py
@@ -108,12 +108,17 @@
         self._raw.close()
 
 
+def unconnected(address: Address) -> socket.socket:
+    """A TCP socket of this address's kind, which never waits."""
+    raw = socket.socket(socket.AF_INET6 if ":" in address.host else socket.AF_INET, socket.SOCK_STREAM)
+    raw.setblocking(False)
+    return raw
+
+
 async def connect(address: Address) -> Stream:
     """A new connection; OSError where it is refused."""
-    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-    raw = socket.socket(family, socket.SOCK_STREAM)
+    raw = unconnected(address)
     try:
-        raw.setblocking(False)
         with suppress(BlockingIOError):
             raw.connect((address.host, address.port))
         await anyio.wait_writable(raw)
