--- /dev/null
+++ b/frostfall/bench/actors.py
@@ -0,0 +1,95 @@
+"""The processes of a bench, each a stand-in with one part: servers, usual clients, slow clients.
+
+Each reads one JSON object from standard input and writes JSON lines. What a server ran is told at its end, so
+that the rules can be checked over all of them.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from time import perf_counter
+from typing import Any
+
+import anyio
+import msgspec
+
+from frostfall.bench import peers
+from frostfall.config import Address
+
+
+def say(**fields: Any) -> None:
+    """One line to whoever started this process."""
+    sys.stdout.buffer.write(msgspec.json.encode(fields) + b"\n")
+    sys.stdout.buffer.flush()
+
+
+async def lines() -> Any:
+    """The next object on standard input; None at its end."""
+    text = await anyio.to_thread.run_sync(sys.stdin.buffer.readline)
+    return msgspec.json.decode(text) if text else None
+
+
+async def servers(count: int) -> None:
+    """Serve until the input ends; a line `{"server": n, "script": s}` changes a script."""
+    fleet = [peers.Server() for _ in range(count)]
+    async with AsyncExitStack() as stack:
+        addresses = [await stack.enter_async_context(peers.listening(each.serve)) for each in fleet]
+        say(addresses=[str(address) for address in addresses])
+        while (told := await lines()) is not None:
+            fleet[told["server"]].script = told["script"]
+        runs: Counter[str] = sum((each.runs for each in fleet), Counter())
+        say(runs=sum(runs.values()), twice=[name for name, ran in runs.items() if ran > 1],
+            each=[sum(server.runs.values()) for server in fleet])
+
+
+async def usual(address: str, clients: int, period: float, seconds: float, tag: str, unsafe: float) -> None:
+    """Ask at a steady pace and tell latencies in milliseconds, each from when it was due."""
+    host, _, port = address.rpartition(":")
+    times: list[float] = []
+    answers: Counter[str] = Counter()
+
+    async def ask(place: int) -> None:
+        client = await peers.UsualClient.open(Address(host, int(port)))
+        begin = perf_counter() + period * place / clients
+        number = 0
+        while (due := begin + number * period) < begin + seconds:
+            await anyio.sleep(max(due - perf_counter(), 0))
+            name = f"{tag}-{place}-{number}"
+            kind = "order" if number % 100 < unsafe * 100 else "read"
+            answer, value = await client.ask(peers.statement(name, kind))
+            right = value == peers.value_for(name, 100) if answer == b"D" else True
+            times.append((perf_counter() - due) * 1000)
+            answers["wrong" if not right else answer.decode()] += 1
+            number += 1
+
+    async with anyio.create_task_group() as group:
+        for place in range(clients):
+            group.start_soon(ask, place)
+    say(times=times, answers=dict(answers))
+
+
+async def slow(address: str, groups: list[dict[str, Any]], seconds: float, tag: str) -> None:
+    """Slow clients that arrive together, by groups of one rate; when the agent ended each, in seconds."""
+    host, _, port = address.rpartition(":")
+    sets = [[peers.SlowClient(f"{tag}-{place}-{number}", group["rate"], queries=group.get("queries", 12))
+             for number in range(group["count"])] for place, group in enumerate(groups)]
+    with anyio.move_on_after(seconds):
+        async with anyio.create_task_group() as tasks:
+            for each in (client for one in sets for client in one):
+                tasks.start_soon(each.run, Address(host, int(port)))
+    say(ended=[[client.ended for client in one if client.began] for one in sets])
+
+
+def main() -> None:
+    """Play the part that the first argument names."""
+    told = msgspec.json.decode(sys.stdin.buffer.readline())
+    parts: dict[str, Callable[..., Awaitable[None]]] = {"servers": servers, "usual": usual, "slow": slow}
+    part = parts[sys.argv[1]]
+    anyio.run(lambda: part(**told))
+
+
+if __name__ == "__main__":
+    main()
--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -11,6 +11,7 @@
 from frostfall import interface as api
 from frostfall.interface import Availability, Effect, Outcome, Phase, Verdict, VoteReply
 from frostfall.linalg import divergence, evidence, mixing_rate, partner, round_length, threshold
+from frostfall.routing.apart import Apart
 from frostfall.state import Attempt, Ballot, Exchange, Known, Request, Test
 
 TICK, HOLD = 100_000, 50_000  # in us: one exchange, over a message's way; how often a held request is tried
@@ -67,11 +68,12 @@
         self.flags, self.calm, self.gone = dict[int, int](), 0.0, -1  # disputes; late before; build gone back
         self.test: Test | None = None
         self.ballot: Ballot | None = None
+        self.apart = Apart()  # servers that turned slow in the middle of an answer
         self.handlers: dict[type, Any] = {
             api.RequestArrived: self._arrive, api.AttemptEnded: self._ended, api.TimerFired: self._timer,
             api.PeerMessage: self._hear, api.ServersListed: self._listed, api.RolloutNews: self._news,
             api.ProbeEnded: self._probed, api.AnswerDisputed: self._disputed, api.StreamStarted: self._marked,
-            api.ClientLeft: self._marked}  # not tallies: they sample what the agents pool
+            api.ClientLeft: self._marked, api.ServerSlowed: self._slowed}  # tallies only sample
 
     def start(self, now: int) -> list[api.Action]:
         """The first actions of a new instance."""
@@ -103,6 +105,9 @@
             if not request.streaming:
                 self._close(request)
 
+    def _slowed(self, event: api.ServerSlowed) -> None:
+        self.apart.slowed(self.now, event.server, len(self.fleet))
+
     def _listed(self, event: api.ServersListed) -> None:
         if event.kind is api.ListKind.FAILED:
             # Danger: without a subscription we send to servers that have left. Ask again, ever more slowly.
@@ -118,11 +123,13 @@
             old = self.servers.get(info.id)
             if info.availability is Availability.REMOVED:
                 self.servers.pop(info.id, None)
+                self.apart.left(info.id)
             elif old and (old.info.started_at, old.info.build) == (info.started_at, info.build):
                 old.info = info
             else:
                 # Danger: agents together push a cold server over. By a chance start, parts of a send add up.
                 rank, credit = self.random.random(), self.random.random()
+                self.apart.left(info.id)
                 self.servers[info.id] = Known(info, rank, credit=credit, credit_at=self.now)
         up = (s for s in self.servers.values() if s.info.availability is Availability.UP)
         self.fleet = sorted(up, key=lambda s: s.rank)
@@ -280,10 +287,15 @@
         # a request now and then. So each keeps to as many as its traffic keeps connected, in random order.
         worth = int(self._served() * self.limits.connection_idle / 1e6 / NEAR_USES)
         room, now, may = self._room(request), self.now, self._may_send
-        near = [s for s in self.fleet if (room or self.probing) and s.shunned_until <= now][:max(NEAR, worth)]
+        fleet, whole = self.fleet, not self.apart
+        if not whole:  # Danger: what drips looks idle and fails nothing for long
+            harmless, let = request.kind.effect is not Effect.UNSAFE, self.apart.admits
+            fleet = [s for s in fleet if let(now, s.info.id, len(s.out), harmless)] or fleet
+        near = [s for s in fleet if (room or self.probing) and s.shunned_until <= now][:max(NEAR, worth)]
         some = near if len(near) <= SAMPLE else self.random.sample(near, SAMPLE)
         # Danger: a build's first machines are near few agents. What their cold budget leaves is used at once.
-        urgent = [s for s in self.trials if self._age(s) < self.rules.warm_up] if self._short() else []
+        urgent = [s for s in self.trials if self._age(s) < self.rules.warm_up and (whole or s in fleet)
+                  ] if self._short() else []
         options = [s for s in (*urgent, *some) if room and s.shunned_until <= now and may(request, s)]
         if options:
             self.held.pop(request.event.request, None)
@@ -363,6 +375,8 @@
         attempt.outcome = event.outcome
         attempt.server.out.pop((event.request, event.attempt), None)
         self.open -= 1
+        if self.apart and event.outcome is Outcome.SUCCESS:
+            self.apart.served(self.now, event.server)
         self._learn(request, attempt, event)
         self._judge(request, attempt, event)
         if event.final or request.done:
--- a/frostfall/config.py
+++ b/frostfall/config.py
@@ -1,8 +1,9 @@
-"""The one place where configuration is read, checked and given defaults."""
+"""The one place where configuration is read, checked and given defaults, the operators' too."""
 
 from __future__ import annotations
 
 import ipaddress
+import re
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -12,9 +13,11 @@
 
 from frostfall import interface as api
 from frostfall import log
+from frostfall import settings as decoder
+from frostfall.keylines import line_of, steps
+from frostfall.options import Options
 from frostfall.protocol import news
 from frostfall.protocol.listing import Listing
-from frostfall.wirehost import codec
 
 
 class ConfigError(Exception):
@@ -58,6 +61,7 @@
     known: Listing
     settings: api.Settings
     log_level: str
+    options: Options
 
 
 class _Platform(msgspec.Struct):
@@ -101,8 +105,8 @@
 
 def _settings(conf: dict[str, Any]) -> api.Settings:
     try:
-        settings = codec.settings(conf)
-    except codec.WireError as error:
+        settings = decoder.decode(conf)
+    except decoder.SettingsError as error:
         raise ConfigError(str(error)) from None
     if not 0 <= settings.agent < settings.agents:
         raise ConfigError(f"settings.ordinal: {settings.agent} is not below nInstances, {settings.agents}")
@@ -120,7 +124,46 @@
     return settings
 
 
-def parse(text: bytes, environment: Mapping[str, str]) -> Config:
+def _at(text: str, message: str) -> tuple[int, str, str]:
+    """The line, the key and what is wrong with it, of a message that msgspec words."""
+    what, _, path = message.partition(" - at `")
+    way = list(steps(path.rstrip("`")))
+    inner, colon, rest = what.partition(": ")
+    if field := re.search(r"(unknown )?field `([^`]*)`", what):
+        way.append(field[2])
+        line, what = line_of(text, tuple(way)), "is no key here" if field[1] else "is missing"
+    elif colon and inner.isidentifier():  # a check of our own names the key first
+        way.append(inner)
+        line, what = line_of(text, tuple(way)), rest
+    else:
+        line = line_of(text, tuple(way))
+    return line, ".".join(way) or "the file", what
+
+
+def operator(text: bytes, name: str) -> Options:
+    """Check an operator file, JSON5; ConfigError names the file, the line and the key."""
+    import json5  # here, as only those who have such a file pay for it
+
+    try:
+        source = text.decode()
+        raw = json5.loads(source, allow_duplicate_keys=False, strict=True)
+    except RecursionError:
+        raise ConfigError(f"{name}: nested too deeply") from None
+    except ValueError as error:
+        where = re.match(r"<string>:(\d+) (.*)", str(error), re.DOTALL)
+        if where:
+            raise ConfigError(f"{name}, line {where[1]}: {where[2]}") from None
+        if again := re.search(r'[Dd]uplicate key "([^"]*)"', str(error)):
+            raise ConfigError(f"{name}: {again[1]}: stands twice in one object") from None
+        raise ConfigError(f"{name}: {error}") from None
+    try:
+        return msgspec.convert(raw, Options)
+    except msgspec.ValidationError as error:
+        line, key, what = _at(source, str(error))
+        raise ConfigError(f"{name}, line {line}: {key}: {what}") from None
+
+
+def parse(text: bytes, environment: Mapping[str, str], options: Options | None = None) -> Config:
     """Check a configuration and fill in defaults; the environment stands in for what it leaves out."""
     try:
         raw = msgspec.json.decode(text, type=_File)
@@ -154,7 +197,27 @@
         peers=peers,
         peers_all=address(raw.peers_all, "peers_all") if raw.peers_all else None,
         platform=address(raw.release_api.address, "release_api.address") if raw.release_api else None,
-        news=told, known=raw.known, settings=settings, log_level=level)
+        news=told, known=raw.known, settings=settings, log_level=level,
+        options=_checked(options or Options(), settings))
+
+
+def _checked(options: Options, settings: api.Settings) -> Options:
+    """The operators' options, which must not name what the settings do not."""
+    known = {kind.name for kind in settings.classes}
+    if slow := options.slow_peers:
+        for side, names in (("clients", slow.clients.classes), ("servers", slow.servers.classes)):
+            for name in names:
+                if name not in known:
+                    raise ConfigError(f"slow_peers.{side}.classes.{name}: no class of the settings")
+    return options
+
+
+def read(path: str, key: str) -> bytes:
+    """The bytes of a file that `key` names."""
+    try:
+        return Path(path).read_bytes()
+    except OSError as error:
+        raise ConfigError(f"{key}: cannot read {path}: {error.strerror}") from None
 
 
 def load(environment: Mapping[str, str]) -> Config:
@@ -162,8 +225,6 @@
     path = environment.get("BALANCER_CONFIG")
     if not path:
         raise ConfigError("BALANCER_CONFIG: not set; it names the configuration's file")
-    try:
-        text = Path(path).read_bytes()
-    except OSError as error:
-        raise ConfigError(f"BALANCER_CONFIG: cannot read {path}: {error.strerror}") from None
-    return parse(text, environment)
+    own = environment.get("FROSTFALL_OPERATOR")
+    options = operator(read(own, "FROSTFALL_OPERATOR"), own) if own else None
+    return parse(read(path, "BALANCER_CONFIG"), environment, options)
--- a/frostfall/interface.py
+++ b/frostfall/interface.py
@@ -349,9 +349,16 @@
     age: Micros  # since the attempt was sent
 
 
+@dataclass(frozen=True, slots=True)
+class ServerSlowed:
+    """A server took or gave bytes too slowly in the middle of an exchange; the attempt's end follows."""
+
+    server: int
+
+
 Event = (
     ServersListed | RequestArrived | StreamStarted | AttemptEnded | ClientLeft | TimerFired
-    | ProbeEnded | PeerMessage | RolloutNews | BuildTally | AnswerDisputed
+    | ProbeEnded | PeerMessage | RolloutNews | BuildTally | AnswerDisputed | ServerSlowed
 )
 
 # ---- actions -----------------------------------------------------------------------------------
--- a/frostfall/net/agent.py
+++ b/frostfall/net/agent.py
@@ -16,6 +16,7 @@
 from frostfall import log
 from frostfall.brain import Brain
 from frostfall.config import Address, Config, ConfigError, address
+from frostfall.limits.guard import Guard
 from frostfall.net.appliances import Appliances, Attempt
 from frostfall.net.clients import Client, Clients, listen
 from frostfall.net.clock import Clock, Timers
@@ -23,6 +24,7 @@
 from frostfall.net.peers import Peers
 from frostfall.net.platform import Platform
 from frostfall.net.streams import Sockets
+from frostfall.net.watch import Watch
 from frostfall.protocol import entries, statement
 from frostfall.protocol.ending import Ending
 from frostfall.protocol.listing import Listing
@@ -69,12 +71,15 @@
         self._addresses: dict[int, Address] = {}
         self._group: TaskGroup | None = None
         sockets = Sockets(config.limits.sockets - SPARE_SOCKETS)
-        self._appliances = Appliances(self.clock, config.settings.limits, sockets)
+        self._guard: Guard[Client] = Guard(config.options.slow_peers)
+        self._watch = Watch()
+        self.brain.apart.pauses = self._guard.rules.servers.apart
+        self._appliances = Appliances(self.clock, config.settings.limits, sockets, self._guard, self._watch)
         self._longest = (max(kind.deadline for kind in config.settings.classes)
                          + config.settings.rules.answer_slack) / 1e6
         self._clients = Clients(self, sockets, sockets.most // CLIENTS_PART,
                                 config.limits.memory_mb * 1024 * 1024 // UNREAD_PART, self._longest,
-                                self._appliances.evict)
+                                self._appliances.evict, self._guard, self._watch)
         self._discovery = Discovery(config.discovery, config.known.generation,
                                     config.settings.rules.ask_within, self._listed, self._list_failed,
                                     unasked=not config.settings.must_subscribe)
@@ -155,7 +160,7 @@
         if parsed.request in self._requests:
             return "an id that is in use"
         deadline = now + parsed.wait_ms * 1000
-        client.request = parsed.request
+        client.request, client.side.class_name = parsed.request, parsed.class_name
         self._requests[parsed.request] = _Request(parsed, client, deadline)
         self.post(api.RequestArrived(parsed.request, parsed.class_name, deadline, parsed.key, parsed.hint,
                                      None, parsed.is_retry))
@@ -187,7 +192,7 @@
         if request is None or request.done or self._group is None:
             _log.error("attempt for a request that has ended", request=action.request)
             return
-        attempt, number = Attempt(), len(request.attempts)
+        attempt, number = Attempt(request.statement.class_name), len(request.attempts)
         deadline = min(began + action.timeout, request.deadline) if action.timeout else request.deadline
         request.attempts.append(attempt)
         target = self._addresses.get(action.server)
@@ -212,6 +217,8 @@
         if outcome is not api.Outcome.SUCCESS:
             _log.debug("attempt ended", request=name, server=action.server, outcome=outcome.name,
                        progress=ending.progress.name, why=ending.why)
+        if ending.stalled:  # first of all, so that no further attempt goes there
+            self.post(api.ServerSlowed(action.server))
         if isinstance(ending.answer, Row):
             self._finish(name, ending.answer.data + READY)
         elapsed = self.clock.now() - began
@@ -255,7 +262,7 @@
         self._stopping.set()
 
     def reload(self, told: Config) -> None:
-        """Take over where discovery and the platform are now; all else stays as it was at the start."""
+        """Take over where discovery and the platform are now, and the operators' options; all else stays."""
         old = self._config
         moved = [key for key, changed in (("discovery", told.discovery != old.discovery),
                                           ("release_api.address", told.platform != old.platform)) if changed]
@@ -267,7 +274,12 @@
             stays.append("release_api.address")
             told = replace(told, platform=old.platform)
         self._discovery.move(told.discovery)
-        self._config = replace(old, discovery=told.discovery, platform=told.platform)
+        if told.options != old.options:
+            self._guard.renew(told.options.slow_peers)
+            self.brain.apart.pauses = self._guard.rules.servers.apart
+            self._clients.look_at_all()
+            moved.append("slow_peers")
+        self._config = replace(old, discovery=told.discovery, platform=told.platform, options=told.options)
         _log.info("reloaded", moved=moved, needs_restart=stays)
 
     async def run(self, ready: Callable[[], None] | None = None) -> None:
@@ -285,6 +297,7 @@
                     group.start_soon(driver.run)
             group.start_soon(self._timers.run, lambda token: self.post(api.TimerFired(token)))
             group.start_soon(self._appliances.sweep)
+            group.start_soon(self._watch.run, self._clients.turn)
             group.start_soon(self._health)
             group.start_soon(self._stop)
             gc.collect()
@@ -324,5 +337,6 @@
                       memory_mb_most=resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024,
                       descriptors=descriptors, clients=len(self._clients),
                       connections=len(self._appliances), requests=len(self._requests),
-                      malformed=dict(self._clients.malformed))
+                      malformed=dict(self._clients.malformed), shed=self._guard.tally.totals(),
+                      waiting=self._guard.budget.waiting, slept_s=round(self._watch.attention.lost, 3))
             self._clients.malformed.clear()
--- a/frostfall/net/appliances.py
+++ b/frostfall/net/appliances.py
@@ -4,14 +4,19 @@
 
 from collections import defaultdict
 from collections.abc import Callable
+from typing import Any
 
 import anyio
 
 from frostfall import log
 from frostfall.config import Address
 from frostfall.interface import Limits
+from frostfall.limits.guard import Guard, Side
+from frostfall.limits.shedding import Reason
+from frostfall.limits.wheel import Timer
 from frostfall.net.clock import Clock
 from frostfall.net.streams import ENDED, Sockets, Stream, connect
+from frostfall.net.watch import TURN, Watch, Watched
 from frostfall.protocol.ending import Ending, Progress
 from frostfall.protocol.pg_client import ClientSide, Refusal, State
 
@@ -27,12 +32,30 @@
 class Connection:
     """One connection to an appliance."""
 
-    def __init__(self, address: Address, stream: Stream) -> None:
+    def __init__(self, address: Address, stream: Stream, guard: Guard[Any]) -> None:
         """Speak over this stream."""
         self.address = address
         self.stream = stream
         self.machine = ClientSide(USER, DATABASE)
         self.idle_since = 0
+        self.side = Side()
+        self.timer: Timer[Watched] = Timer(self)
+        self.attempt: Attempt | None = None  # the one under way
+        self.unwritten = 0  # bytes of its query that the kernel has not taken yet
+        self._guard = guard
+
+    def look(self, now: float) -> float | None:
+        """Judge how the server takes the query and gives the answer; until an attempt begins, not again."""
+        if self.attempt is None:
+            return None
+        reason = self._guard.server_reads(self.side, now, self.unwritten + self.stream.unsent)
+        if reason is None and self.attempt.progress is Progress.ANSWERING:
+            reason = self._guard.server_sends(self.side, now)
+        if reason is None:
+            return TURN
+        self._guard.tally.note(reason, str(self.address))
+        self.attempt.stall(reason)
+        return None
 
     @property
     def usable(self) -> bool:
@@ -43,10 +66,12 @@
 class Attempt:
     """One attempt under way; `give_up` ends it at once."""
 
-    def __init__(self) -> None:
-        """Not begun."""
+    def __init__(self, class_name: str = "") -> None:
+        """Not begun, for a request of this class."""
+        self.class_name = class_name
         self.progress = Progress.NO_CONNECTION
         self.given_up = False
+        self.stalled: Reason | None = None
         self.scope = anyio.CancelScope()
 
     def give_up(self) -> None:
@@ -54,12 +79,20 @@
         self.given_up = True
         self.scope.cancel()
 
+    def stall(self, reason: Reason) -> None:
+        """Stop waiting, as the server goes too slowly; the connection closes."""
+        self.stalled = reason
+        self.scope.cancel()
+
 
 class Appliances:
     """The pool: by address, the connections that wait for a request."""
 
-    def __init__(self, clock: Clock, limits: Limits, sockets: Sockets) -> None:
-        """Hold as many connections as there are sockets."""
+    def __init__(self, clock: Clock, limits: Limits, sockets: Sockets, guard: Guard[Any] | None = None,
+                 watch: Watch | None = None) -> None:
+        """Hold as many connections as there are sockets; `watch` has to be run by the owner."""
+        self._guard = guard or Guard[Any]()
+        self._watch = Watch() if watch is None else watch
         self._clock = clock
         self._connect_timeout = limits.connect_timeout / 1e6
         self._idle_most = int(limits.connection_idle * IDLE_PART)
@@ -99,11 +132,19 @@
                 ending = await self._exchange(connection, attempt, statement)
                 return
             # Only a scope that ended the wait comes here: the time is over, or the attempt was given up.
-            ending = Ending(attempt.progress, timed_out=not attempt.given_up, cancelled=attempt.given_up)
+            if connection is not None and not attempt.given_up and not attempt.stalled and (
+                    self._guard.server_unfinished(connection.side, self._watch.now)):
+                attempt.stalled = Reason.SERVER_SENDS_SLOWLY
+                self._guard.tally.note(attempt.stalled, str(address))
+            ending = Ending(attempt.progress, cancelled=attempt.given_up, stalled=attempt.stalled is not None,
+                            timed_out=not attempt.given_up and attempt.stalled is None,
+                            why=attempt.stalled.value if attempt.stalled else "")
         except Exception as error:
             _log.exception("attempt failed")
             ending = Ending(max(attempt.progress, Progress.WRITTEN), why=repr(error))
         finally:
+            if connection is not None:
+                connection.attempt = None
             # Danger: the end is told when the connection is closed, or a second copy could be out beside it.
             if connection is not None and (
                     connection.machine.answer is None or connection.machine.state is State.BROKEN):
@@ -115,20 +156,39 @@
 
     async def _exchange(self, connection: Connection, attempt: Attempt,
                         statement: Callable[[], bytes]) -> Ending:
-        machine, stream = connection.machine, connection.stream
-        attempt.progress = Progress.NOT_WRITTEN
+        machine, stream, side = connection.machine, connection.stream, connection.side
+        attempt.progress, connection.attempt, side.half_since = Progress.NOT_WRITTEN, attempt, None
         try:
             data = machine.ask(statement())
-            # Danger: when the write breaks off, it is not known how much has gone out: it may have run.
-            attempt.progress = Progress.WRITTEN
-            await stream.send(data)
+            side.written += len(data)
+            connection.unwritten = len(data)
+            if self._guard.rules.watches_servers:
+                side.class_name = attempt.class_name
+                side.reading.rest()
+                side.sending.rest()
+                self._watch.arm(connection, TURN)
+            await self._write(connection, attempt, data)
             while machine.answer is None:
-                machine.feed(await stream.receive())
-                attempt.progress = Progress.ANSWERING
+                received = await stream.receive()
+                if attempt.progress is not Progress.ANSWERING:
+                    attempt.progress, side.half_since = Progress.ANSWERING, self._watch.now
+                side.given += len(received)
+                machine.feed(received)
         except ENDED as error:
             return Ending(attempt.progress, why=repr(error))
         return Ending(attempt.progress, machine.answer, load=machine.load)
 
+    @staticmethod
+    async def _write(connection: Connection, attempt: Attempt, data: bytes) -> None:
+        # Danger: what the kernel has taken may arrive after all that is done here; only a query of which some
+        # byte was never handed over has provably not run. A write that fails has handed over nothing.
+        while connection.unwritten:
+            if connection.unwritten < len(data):
+                await connection.stream.writable()
+            rest = memoryview(data)[-connection.unwritten:]
+            connection.unwritten -= connection.stream.write(rest)
+        attempt.progress = Progress.WRITTEN
+
     def _take(self, address: Address) -> Connection | None:
         """The connection that was used last, if it still stands."""
         waiting, now = self._idle.get(address, []), self._clock.now()
@@ -153,7 +213,9 @@
         why = "no connection in time"
         try:
             with anyio.move_on_after(self._connect_timeout):
-                connection = Connection(address, await connect(address))
+                connection = Connection(address, await connect(address), self._guard)
+                if waiting := self._guard.rules.waiting:
+                    connection.stream.bound(waiting.kernel_bytes)
                 machine = connection.machine
                 await connection.stream.send(machine.opening)
                 while machine.state is State.STARTING:
@@ -190,6 +252,7 @@
 
     def _drop(self, connection: Connection) -> None:
         self._hold(-1)
+        self._watch.disarm(connection)
         connection.stream.close()
 
     def _hold(self, more: int) -> None:
--- a/frostfall/net/clients.py
+++ b/frostfall/net/clients.py
@@ -15,19 +15,22 @@
 
 from frostfall import log
 from frostfall.config import Address
+from frostfall.limits.guard import Guard, Side
+from frostfall.limits.shedding import Reason
+from frostfall.limits.turns import Turns
+from frostfall.limits.wheel import Timer
 from frostfall.net.streams import ENDED, Sockets, Stream, unconnected
+from frostfall.net.watch import TURN, Watch, Watched
 from frostfall.protocol import pg, pg_server
 from frostfall.protocol.pg_server import Closed, Query, Reply, ServerSide
 
 BACKLOG = 512  # connections: a burst that comes while the one core is busy elsewhere
 PAUSE = 0.01  # seconds: how long accepting rests after an error, or with a crowd that waits to be refused
 ACCEPT_MOST = 16  # connections accepted in one turn, so that a flood of them leaves the others theirs
-EVENTS_MOST = 32  # messages of one connection handled in one turn, for the same reason
 OUT_MOST = 64 * 1024  # bytes that may wait to be written before a connection's next query is looked at
 CROWD_MOST = 8  # connections beyond the bound that are open at once, only to be refused
 FRESH = 0.05  # seconds: a usual client writes as soon as it has connected; until then it is not silent
 QUIET = 2.0  # seconds without an open request after which a connection may be closed, by the protocol
-SWEEP = 0.25  # seconds: how often connections are looked through for those
 SHORT_PART = 0.5  # of the clients' bound: with more open, those that are idle for long are closed
 SMALL = 8 * 1024  # bytes: what a connection may always hold unread, for all of them together is little
 
@@ -47,9 +50,14 @@
 class Client:
     """One client's connection."""
 
-    def __init__(self, stream: Stream, front: Front, owner: Clients, crowded: bool = False) -> None:
-        """Serve this stream; a crowded one gets one answer, a refusal."""
+    def __init__(self, stream: Stream, front: Front, owner: Clients, crowded: bool = False,
+                 source: str = "") -> None:
+        """Serve this stream, which came from this address; a crowded one gets one answer, a refusal."""
         self.crowded = crowded
+        self.source = source
+        self.side = Side()
+        self.timer: Timer[Watched] = Timer(self)
+        self._turns = Turns(owner.guard.rules.turn)
         self.opened = monotonic()
         self.request: str | None = None  # the request that waits for its answer
         self.draining = crowded
@@ -66,10 +74,11 @@
         self._advancing = False
         self._gone = False  # whether the client has left, or is done with
         self._last = False  # whether the connection is to end once what is to be said is said
-        self._used = self.opened  # when it last brought something or was answered
+        self.used = self.opened  # when it last brought something or was answered
+        self._came = owner.watch.now  # the same as `opened`, attended
         self._asked = False  # whether a whole query has come
         self._served = False
-        self._half_since = 0.0  # since when a query is half read
+        owner.watch.arm(self, QUIET)
 
     async def run(self) -> None:
         """Serve until either side ends it."""
@@ -87,7 +96,7 @@
         """Give the final answer to the query that waits; the next one is then read."""
         self.request = None
         self._served = True
-        self._used = monotonic()
+        self.used = monotonic()
         self._machine.answered()
         self._say(data, last=self.draining and not self._machine.buffered)
         self._answered.set()
@@ -119,21 +128,48 @@
         if not self._machine.busy:
             self._say(b"", last=True)
 
-    def expire(self, now: float, short: bool, longest: float) -> None:
-        """End a connection that has had its time: the one rule on which of them close, and when."""
+    def look(self, now: float) -> float | None:
+        """Judge how the client reads and sends: the one rule on which connections close for either."""
+        if self._gone or not self._owner.holds(self):
+            return None
+        guard, longest = self._owner.guard, self._owner.longest
+        waits = len(self._out)
+        if guard.rules.watches_clients:
+            waits += self._stream.unsent
+            reason = guard.client_reads(self, self.side, self.source, now, waits)
+            if reason:
+                self.shed(reason)
+            else:
+                self._owner.relieve(self)
+            if self._gone:
+                return None
         if self._out:
-            if now - self._out_since > longest:  # nobody reads what is worth nothing by now
-                self._leave()
+            if guard.rules.clients.reads(self.side.class_name) or now - self._out_since <= longest:
+                return TURN
+            self._leave()  # without a least rate: beyond that time nobody reads what is worth nothing by now
         elif self._machine.busy or self._last:
-            return
-        elif not self._asked and now - self.opened > QUIET:
+            pass
+        elif self.side.half_since is not None and guard.rules.clients.sending:
+            if not (reason := guard.client_sends(self.side, now)):
+                return TURN
+            guard.tally.note(reason, self.source)
             self._refuse(pg.Malformed.SILENT)
-        elif self._asked and self._machine.buffered:
-            self._half_since = self._half_since or now
-            if now - self._half_since > QUIET:
-                self._refuse(pg.Malformed.SILENT)
-        elif short and self._served and now - self._used > QUIET:
-            self.end()
+        elif not self._asked or self.side.half_since is not None:
+            since = self._came if self.side.half_since is None else self.side.half_since
+            since = since if self._asked else self._came
+            if now - since <= QUIET:
+                return max(QUIET - (now - since), TURN)
+            self._refuse(pg.Malformed.SILENT)
+        return TURN if waits else None
+
+    def shed(self, reason: Reason) -> None:
+        """Give the client up: it could not be told anything, as nothing goes out to it in time."""
+        # Danger: closed in the usual way, the kernel would hold what is unread until its own time-outs,
+        # minutes later.
+        self._owner.guard.tally.note(reason, self.source)
+        self._owner.guard.budget.release(self)
+        self._stream.abandon()
+        self._leave()
 
     def _leave(self) -> None:
         self._gone = True
@@ -146,6 +182,9 @@
     def _say(self, data: bytes, last: bool = False) -> None:
         if self._gone:
             return
+        self.side.written += len(data)
+        if data and self._owner.guard.rules.watches_clients:
+            self._owner.watch.arm(self, TURN)
         if data and not self._out:
             try:
                 data = data[self._stream.write(data):]
@@ -154,7 +193,8 @@
                 return
         if data:
             if not self._out:
-                self._out_since, self._flushed = monotonic(), anyio.Event()
+                self._out_since, self._flushed = self._owner.watch.now, anyio.Event()
+                self._owner.watch.arm(self, TURN)
                 self._owner.later(self._flush)
             self._out += data
         if last and not self._last:
@@ -168,7 +208,8 @@
         try:
             while self._out and not self._gone:
                 await self._stream.writable()
-                del self._out[:self._stream.write(self._out)]
+                # Danger: handed over whole, a large value to one client holds up all the others.
+                del self._out[:self._stream.write(self._out[:self._owner.guard.rules.turn.size])]
         except ENDED:
             self._leave()
         self._flushed.set()
@@ -184,15 +225,33 @@
         if self._advancing:  # the agent may answer a query at once, from inside this loop
             return False
         self._advancing = True
+        self._turns.begin()
         try:
-            for _ in range(EVENTS_MOST):
-                if len(self._out) > OUT_MOST or (event := self._machine.next_event()) is None:
+            while self._turns.left:
+                before = self._machine.buffered
+                if self._held_back or (event := self._machine.next_event()) is None:
                     return False
                 self._event(event)
+                self._turns.spend(before - self._machine.buffered)
             return True
         finally:
             self._advancing = False
             self._owner.hold(self, self._machine.buffered)
+            self._note_half()
+
+    @property
+    def _held_back(self) -> bool:
+        """Whether so much waits to be read that no further query is looked at."""
+        return len(self._out) > OUT_MOST or (bool(self._out) and self._owner.guard.budget.full)
+
+    def _note_half(self) -> None:
+        half = self._machine.buffered and not (self._machine.busy or self._last or self._out)
+        if half and self.side.half_since is None:
+            self.side.half_since = self._owner.watch.now
+            self._owner.watch.arm(self, TURN if self._owner.guard.rules.clients.sending else QUIET)
+        elif not half and self.side.half_since is not None:
+            self.side.half_since = None
+            self.side.sending.rest()
 
     def _event(self, event: pg_server.Event) -> None:
         match event:
@@ -203,7 +262,7 @@
                     self._owner.works(self)
                     self._owner.rests(self)
             case Query(text):
-                self._asked, self._half_since = True, 0.0
+                self._asked = True
                 self._owner.works(self)
                 if self.crowded and not self._owner.promote(self):
                     self.answer(pg_server.refused(0))
@@ -228,7 +287,8 @@
                 while self._machine.busy:
                     await self._caught_up()
                 return True
-            self._used = monotonic()
+            self.used = monotonic()
+            self.side.given += len(data)
             self._machine.feed(data)
             await self._go_on()
             if not self._machine.busy and self._machine.buffered > SMALL and self._owner.over:
@@ -268,14 +328,20 @@
     """
 
     def __init__(self, front: Front, sockets: Sockets, most: int, memory: int, longest: float,
-                 spare: Callable[[], bool]) -> None:
-        """Hold so many connections at most and so many bytes unread; `spare` may close one of another use."""
+                 spare: Callable[[], bool], guard: Guard[Client] | None = None,
+                 watch: Watch | None = None) -> None:
+        """Hold so many connections at most and so many bytes unread; `spare` may close one of another use.
+
+        `watch` has to be run by the owner, with `turn` after each of its turns.
+        """
+        self.guard = guard or Guard[Client]()
+        self.watch = Watch() if watch is None else watch
+        self.longest = longest
         self.malformed = Counter[str]()  # what could not be read, by its reason, since it was last told
         self._front = front
         self._sockets = sockets
         self._most = most
         self._memory, self._held = memory, 0
-        self._longest = longest
         self._spare = spare
         self._open: set[Client] = set()
         # In the order of their coming, each without those that are about to end.
@@ -338,7 +404,6 @@
         """Serve each connection in a task of its own, until stopped and all have ended."""
         try:
             async with anyio.create_task_group() as self._group:
-                self._group.start_soon(self._sweep)
                 async with anyio.create_task_group() as group:
                     with anyio.CancelScope() as self._accepting:
                         await self._accept(listener, group)
@@ -354,7 +419,7 @@
                 await anyio.sleep(PAUSE)
             for _ in range(ACCEPT_MOST):
                 try:
-                    raw, _ = listener.accept()
+                    raw, address = listener.accept()
                 except (BlockingIOError, ConnectionAbortedError):
                     break
                 except OSError as error:
@@ -364,12 +429,14 @@
                 # Danger: a request counts as taken while its connection still waits to be accepted. So none
                 # is left waiting: where there is no room, its first query is refused unseen.
                 with suppress(OSError):
-                    self._take(Stream(raw), group, crowded=not self._make_room())
+                    self._take(Stream(raw), group, not self._make_room(), str(address[0]))
                 if len(self._crowd) >= CROWD_MOST:
                     break
 
-    def _take(self, stream: Stream, group: TaskGroup, crowded: bool) -> None:
-        client = Client(stream, self._front, self, crowded)
+    def _take(self, stream: Stream, group: TaskGroup, crowded: bool, source: str) -> None:
+        if waiting := self.guard.rules.waiting:
+            stream.bound(waiting.kernel_bytes)
+        client = Client(stream, self._front, self, crowded, source)
         client.draining = self._draining or crowded
         self._open.add(client)
         self._sockets.used += 1
@@ -387,6 +454,8 @@
             self._open.discard(client)
             self.ends(client)
             self.hold(client, 0)
+            self.watch.disarm(client)
+            self.guard.budget.release(client)
             self._sockets.used -= 1
 
     def _make_room(self) -> bool:
@@ -409,12 +478,33 @@
         oldest.end()
         return True
 
-    async def _sweep(self) -> None:
-        while True:
-            await anyio.sleep(SWEEP)
-            now, short = monotonic(), len(self._open) > self._most * SHORT_PART
-            for client in list(self._open):
-                client.expire(now, short, self._longest)
+    def holds(self, client: Client) -> bool:
+        """Whether it is open."""
+        return client in self._open
+
+    def relieve(self, client: Client) -> None:
+        """Let those leave for whom too much waits, now that this one's account has changed."""
+        while found := self.guard.excess(client):
+            reason, chosen = found
+            chosen.shed(reason)
+
+    def look_at_all(self) -> None:
+        """Look at every connection in the next turn: other rules hold."""
+        for client in self._open:
+            self.watch.arm(client, TURN)
+
+    def turn(self) -> None:
+        """With many open, close those that have been idle for long; told once a while who was shed."""
+        if line := self.guard.tally.line(monotonic()):
+            _log.warning("shed", **line)
+        if len(self._open) <= self._most * SHORT_PART:
+            return
+        before = monotonic() - QUIET
+        for client in list(self._idle):  # in the order of their answers
+            if client.idle:
+                if client.used > before:
+                    break
+                client.end()
 
     def drain(self) -> None:
         """From now on connections end with their answer, and those that have had one end at once."""
--- a/frostfall/net/streams.py
+++ b/frostfall/net/streams.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import fcntl
 import os
 import random
 import socket
+import struct
+import termios
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 
@@ -14,6 +17,8 @@
 from frostfall.protocol.pg import READ_MOST
 
 CONNECT_TIMEOUT = 1.0  # seconds: a service that is cut off never accepts; appliances have settings
+_INT = struct.Struct("i")
+_LINGER_NONE = struct.pack("ii", 1, 0)
 ENDED = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError)
 
 
@@ -52,6 +57,29 @@
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._raw = raw
 
+    @property
+    def unsent(self) -> int:
+        """Bytes that the kernel holds and the peer's has not acknowledged; 0 where that is not told."""
+        try:
+            return _INT.unpack(fcntl.ioctl(self._raw, termios.TIOCOUTQ, bytes(_INT.size)))[0]  # type: ignore
+        except OSError:
+            return 0
+
+    @property
+    def broken(self) -> bool:
+        """Whether the connection has been reset or has failed."""
+        return self._raw.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+
+    def bound(self, most: int) -> None:
+        """Let the kernel hold about so many bytes that are not sent, and no more."""
+        with suppress(OSError):  # the kernel takes twice what it is told, for what it needs around the bytes
+            self._raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, most // 2)
+
+    def abandon(self) -> None:
+        """Let the close that follows be a reset, which frees at once what the kernel still holds."""
+        with suppress(OSError):
+            self._raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NONE)
+
     @property
     def quiet(self) -> bool:
         """Whether nothing has come that is unread, not even the end."""
--- a/frostfall/protocol/ending.py
+++ b/frostfall/protocol/ending.py
@@ -15,7 +15,7 @@
     """How far an attempt had come."""
 
     NO_CONNECTION = 0
-    NOT_WRITTEN = 1  # its last byte had not gone out
+    NOT_WRITTEN = 1  # its last byte had not been handed to the kernel
     WRITTEN = 2
     ANSWERING = 3
 
@@ -28,6 +28,7 @@
     answer: Answer | None = None
     timed_out: bool = False
     cancelled: bool = False
+    stalled: bool = False  # given up because the server took or gave bytes too slowly
     load: str | None = None  # the load report that came along
     why: str = ""
 
@@ -45,4 +46,4 @@
             return Outcome.CANCELLED
         if not started:
             return Outcome.UNREACHABLE
-        return Outcome.TIMED_OUT if self.timed_out else Outcome.RESET
+        return Outcome.TIMED_OUT if self.timed_out or self.stalled else Outcome.RESET
--- a/frostfall/protocol/entries.py
+++ b/frostfall/protocol/entries.py
@@ -5,9 +5,9 @@
 from hashlib import blake2b
 
 from frostfall import interface as api
+from frostfall import settings
 from frostfall.protocol.listing import Entry, Listing
 from frostfall.protocol.statement import load_values
-from frostfall.wirehost import codec
 
 _AVAILABILITY = {
     "in_service": api.Availability.UP,
@@ -46,4 +46,4 @@
     """A load report; None where there is none."""
     if not text:
         return None
-    return codec.load({_LOAD_NAMES.get(name, name): value for name, value in load_values(text).items()})
+    return settings.load({_LOAD_NAMES.get(name, name): value for name, value in load_values(text).items()})
--- a/frostfall/wirehost/codec.py
+++ b/frostfall/wirehost/codec.py
@@ -2,20 +2,18 @@
 
 from __future__ import annotations
 
-import math
 from typing import Any, TypeVar
 
 import msgspec
 
 from frostfall import interface as api
+from frostfall.settings import load
 from frostfall.wirehost import messages as wire
 
 _LINE: msgspec.json.Decoder[wire.Line] = msgspec.json.Decoder(wire.Line)
 _T = TypeVar("_T")
 _ENCODER = msgspec.json.Encoder()
 
-_EFFECTS = {"safe": api.Effect.SAFE, "keyed": api.Effect.KEYED, "unsafe": api.Effect.UNSAFE}
-_GROUPS = {"all": api.KeyGroup.ALL, "zone": api.KeyGroup.ZONE, "cell": api.KeyGroup.CELL}
 _AVAILABILITY = {
     "up": api.Availability.UP,
     "draining": api.Availability.DRAINING,
@@ -67,90 +65,6 @@
         raise WireError(f"unknown {what} {value!r}") from None
 
 
-def settings(conf: dict[str, Any]) -> api.Settings:
-    """The settings of an instance in the project's terms."""
-    try:
-        raw = msgspec.convert(conf, wire.Conf)
-    except msgspec.MsgspecError as error:
-        raise WireError(f"settings: {error}") from error
-    bounds, rules, prices = raw.bounds, raw.rules, raw.prices
-    return api.Settings(
-        agent=raw.ordinal,
-        agents=max(1, raw.n_instances),
-        zone=raw.zone,
-        classes=tuple(
-            api.RequestClass(
-                name=grade.name,
-                effect=_name(_EFFECTS, grade.effect, "effect"),
-                key_group=_name(_GROUPS, grade.key_scope, "key scope"),
-                key_ttl=grade.key_ttl_us,
-                aim=grade.aim_us,
-                deadline=grade.deadline_us,
-                worth=grade.credit,
-                late_worth=grade.late_worth,
-                aim_stretch=grade.aim_stretch,
-                stream=grade.stream,
-            )
-            for grade in raw.grades
-        ),
-        tenants=tuple(api.Tenant(c.name, c.quota_per_s, c.share) for c in raw.customers),
-        rollout=_rollout(raw.family_info) if raw.family_info and raw.family_info.caps else None,
-        limits=api.Limits(
-            max_attempts=bounds.max_attempts,
-            parallel_attempts=bounds.parallel_tries,
-            may_cancel=bounds.may_cancel,
-            probes=bounds.probes,
-            peers=bounds.peers,
-            retry_after=bounds.retry_after,
-            max_retry_after=bounds.max_retry_after_us,
-            connect_timeout=bounds.connect_timeout_us,
-            connection_idle=bounds.conn_idle_us,
-        ),
-        rules=api.Rules(
-            answer_slack=rules.grace_to_answer_us,
-            drain_grace=rules.stop_sending_within_us,
-            ask_within=rules.ask_every_us,
-            cold_share=rules.cold_from,
-            warm_up=rules.warm_up_us,
-            fall_multiple=rules.fall_multiple,
-            fall_window=rules.fall_us,
-        ),
-        prices=api.Prices(prices.cross_zone, prices.waste, prices.probe, prices.peer, prices.late_fail),
-        must_subscribe=raw.discovery == "subscribe",
-        load_by_probe=raw.report.how == "on_probe",
-        over_share_worth=raw.over_share_worth,
-    )
-
-
-def _rollout(info: wire.FamilyInfo) -> api.Rollout:
-    return api.Rollout(
-        control=api.Control.AUTOMATIC if info.control == "automatic" else api.Control.VOTES,
-        stage_caps=tuple(info.caps),
-        stage_shares=tuple(info.rings),
-        window=info.window_us,
-        free_attempts=info.uncounted,
-        per_class=info.per == "each_class",
-        closed_stages=info.closed_stages,
-        one_way=info.one_way,
-        keeps_old_servers=info.swap != "replace",
-        least_stage_time=info.min_dwell_us,
-        stage_time=info.step_us,
-        on_votes=info.ayes_needed,
-        back_votes=info.back_votes,
-        hold_votes=info.to_pause,
-        vote_life=info.ballot_ttl_us,
-        vote_timeout=info.api_timeout_us,
-        votes_per_second=info.calls_per_s,
-        news_period=info.repeat_every_us,
-        tally_period=info.sums_every_us,
-        tally_sample=info.sample,
-        flag_share=info.flag_share,
-        delay_price=info.delay_price,
-        harm_price=info.blast_price,
-        warm_keys=info.warm_keys,
-    )
-
-
 def servers(nodes: list[wire.Node]) -> tuple[api.Server, ...]:
     """A list's entries in the project's terms."""
     return tuple(
@@ -167,20 +81,6 @@
     )
 
 
-def load(report: dict[str, float] | None) -> api.Load | None:
-    """A load report in the project's terms."""
-    if not report:
-        return None
-    known = {name: value for name, value in report.items() if math.isfinite(value) and value >= 0}
-    return api.Load(
-        held=known.get("busy_reqs"),
-        queued=known.get("pending"),
-        cpu=known.get("cpu_share"),
-        service_ms=known.get("svc_ms"),
-        served_per_s=known.get("served_ps"),
-    )
-
-
 def event(message: wire.AgentEvent, banks: dict[int, tuple[api.Server, ...]]) -> api.Event:
     """One instance's event in the project's terms."""
     match message:
--- a/frostfall/wirehost/host.py
+++ b/frostfall/wirehost/host.py
@@ -6,6 +6,7 @@
 
 from frostfall import interface as api
 from frostfall.brain import Brain
+from frostfall.settings import SettingsError, decode
 from frostfall.wirehost import codec
 from frostfall.wirehost import messages as wire
 
@@ -27,7 +28,7 @@
                 self._banks[message.bank] = codec.servers(message.nodes_list)
                 return []
             case wire.Enlist():
-                brain = Brain(codec.settings(message.conf), message.seed)
+                brain = Brain(decode(message.conf), message.seed)
                 self._brains[message.agent] = brain
                 actions = brain.start(now)
             case wire.Detach():
@@ -64,7 +65,7 @@
                 now, reply = None, []
             else:
                 reply += host.handle(now, message)
-        except codec.WireError as error:
+        except (codec.WireError, SettingsError) as error:
             raise codec.WireError(f"line {number}: {error}") from error
     if now is not None:
         raise codec.WireError(f"line {number}: input ended inside a batch")
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -76,6 +76,7 @@
     with anyio.fail_after(LONG):
         async with anyio.create_task_group() as group:
             group.start_soon(clients.run, listener)
+            group.start_soon(clients.watch.run, clients.turn)
             yield clients, front, dial
             group.cancel_scope.cancel()
 
