--- a/frostfall/cli.py
+++ b/frostfall/cli.py
@@ -82,3 +82,14 @@
     except ImportError as error:
         raise click.ClickException(f"{error}; install requirements-bench.txt") from None
     measure.run(rounds, seconds, against, out)
+
+
+@bench.command("structures")
+@click.option("--rounds", default=5, show_default=True, help="How often each is timed.")
+@click.option("--out", type=click.Path(file_okay=False, path_type=Path), default=Path("bench-out"),
+              show_default=True, help="Where the JSON and the table go.")
+def structures(rounds: int, out: Path) -> None:
+    """Timer wheel and indexed heap against heap and scan."""
+    from frostfall.bench import structures as measure
+
+    measure.run(rounds, out)
--- a/frostfall/interface.py
+++ b/frostfall/interface.py
@@ -351,7 +351,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerSlowed:
-    """A server took or gave bytes too slowly in the middle of an exchange; the attempt's end follows."""
+    """A server takes or gives bytes too slowly in the middle of an exchange, whose end is yet to come."""
 
     server: int
 
--- a/frostfall/limits/budget.py
+++ b/frostfall/limits/budget.py
@@ -53,7 +53,7 @@
 class _Account:
     source: str
     waiting: int = 0
-    pace: float = 0.0
+    pace: float | None = None  # bytes a second, once it has been looked at
 
 
 class Budget(Generic[Name]):
@@ -84,8 +84,8 @@
         """The bytes that wait for the readers of one source address."""
         return self._by_source.get(source, 0)
 
-    def hold(self, name: Name, source: str, waiting: int, pace: float) -> None:
-        """So many bytes wait for this reader now, and it takes so many a second."""
+    def hold(self, name: Name, source: str, waiting: int, pace: float | None) -> None:
+        """So many bytes wait for this reader now, and it takes so many a second (None: not looked at)."""
         if waiting <= 0:
             self.release(name)
             return
@@ -94,13 +94,15 @@
             account = self._accounts[name] = _Account(source)
             self._sources.setdefault(source, Ranking())
         more = waiting - account.waiting
-        account.waiting, account.pace = waiting, pace
+        account.waiting = waiting
+        pace = account.pace = account.pace if pace is None else pace
         self.waiting += more
         self._by_source[account.source] = self._by_source.get(account.source, 0) + more
         # Danger: by the exact amount alone, the one that goes is whoever happens to have a byte more.
-        rank = (float(waiting // self.allowance.grain_bytes), -pace)
+        # Nor may it be one that has had no time to take them, while others had and did not.
+        rank = (float(pace is not None), float(waiting // self.allowance.grain_bytes), -(pace or 0.0))
         for ranking in (self._ranking, self._sources[account.source]):
-            if pace >= self.allowance.fast:
+            if pace is not None and pace >= self.allowance.fast:
                 ranking.drop(name)
             else:
                 ranking.put(name, rank)
@@ -126,7 +128,7 @@
         account = self._accounts.get(name)
         if account is None:
             return None
-        if account.waiting > self.allowance.reader_bytes and account.pace < self.allowance.fast:
+        if account.waiting > self.allowance.reader_bytes and (account.pace or 0.0) < self.allowance.fast:
             return Scope.READER, name
         if (self._by_source[account.source] > self.allowance.source_bytes
                 and (chosen := self._sources[account.source].first) is not None):
--- a/frostfall/limits/guard.py
+++ b/frostfall/limits/guard.py
@@ -17,6 +17,7 @@
 Name = TypeVar("Name", bound=Hashable)
 
 SCOPES = {Scope.READER: Reason.READER_FULL, Scope.SOURCE: Reason.SOURCE_FULL, Scope.ALL: Reason.ALL_FULL}
+SUSPECT_AFTER = 0.15  # attended seconds: servers may pause between an answer's head and its value
 NOTHING = SlowPeers()
 UNBOUNDED = Allowance(reader_bytes=1 << 50, source_bytes=1 << 50, all_bytes=1 << 50)
 
@@ -24,7 +25,7 @@
 class Side:
     """One connection: what its peer takes (`reading`) and gives (`sending`), and the class under way."""
 
-    __slots__ = ("class_name", "given", "half_since", "reading", "sending", "written")
+    __slots__ = ("class_name", "given", "half_from", "half_since", "reading", "sending", "written")
 
     def __init__(self) -> None:
         """A connection over which nothing has gone."""
@@ -33,6 +34,7 @@
         self.given = 0  # bytes that came from the peer, in all
         self.class_name = ""
         # since when, in attended seconds, something has come but not whole
+        self.half_from = 0  # what had been given when that began
         self.half_since: float | None = None
 
 
@@ -64,6 +66,10 @@
         self.budget.hold(name, source, waiting, side.reading.pace)
         return Reason.READS_SLOWLY if spent else None
 
+    def hold_at_once(self, name: Name, source: str, waiting: int) -> None:
+        """So many bytes wait for a client from now on, beyond what the kernel has taken."""
+        self.budget.hold(name, source, waiting, None)
+
     def client_sends(self, side: Side, now: float) -> Reason | None:
         """Look at how a client gives a query that has come in part."""
         rule = self._rules.clients.sending
@@ -91,6 +97,15 @@
         spent = rule is not None and self._spent(side.sending, now, side.given, ENDLESS, rule)
         return Reason.SERVER_SENDS_SLOWLY if spent else None
 
+    def server_suspect(self, side: Side, now: float) -> bool:
+        """Whether an answer goes too slowly so far: grounds to send others elsewhere, not to end it."""
+        # Danger: until the window has shown it for sure, many more requests would have gone to that server.
+        rule = self._rules.servers.sends(side.class_name)
+        if rule is None or side.half_since is None or side.sending.standing is Standing.IDLE:
+            return False
+        span = now - side.half_since
+        return span >= SUSPECT_AFTER and side.given - side.half_from < rule.rate * span
+
     def server_unfinished(self, side: Side, now: float) -> bool:
         """Whether an attempt, its time over, ended within an answer that had had a turn to come."""
         # Danger: time-outs of what is safe to repeat are shorter than any window, so that by the window alone
--- a/frostfall/limits/rules.py
+++ b/frostfall/limits/rules.py
@@ -8,7 +8,7 @@
 
 from frostfall.limits.budget import Allowance
 from frostfall.limits.meter import LeastRate
-from frostfall.limits.turns import Quantum
+from frostfall.limits.turns import Arrivals, Quantum
 from frostfall.routing.apart import Pauses
 
 
@@ -70,6 +70,7 @@
     servers: Servers = Servers()
     waiting: Allowance | None = None
     turn: Quantum = Quantum()
+    arrivals: Arrivals | None = None  # without it, connections are taken in as they come
     log_every: float = 10.0  # seconds between log lines on what was shed
 
     def __post_init__(self) -> None:
--- a/frostfall/limits/turns.py
+++ b/frostfall/limits/turns.py
@@ -7,13 +7,15 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
 
 class Quantum(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What one turn brings, for parsing and for writing. ValueError where a figure is out of range."""
 
-    size: int = 32 * 1024  # bytes
+    size: int = 72 * 1024  # bytes: one answer whole
     messages: int = 32  # however small they are
 
     def __post_init__(self) -> None:
@@ -23,6 +25,45 @@
                 raise ValueError(f"{key}: {getattr(self, key)} is not above 0")
 
 
+TRACE = 1e-6  # of a token, and seconds
+
+
+class Arrivals(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How fast new connections are taken in; the rest wait in the kernel. ValueError where out of range."""
+
+    rate: float  # a second
+    burst: int = 8  # at once
+
+    def __post_init__(self) -> None:
+        """Check that the figures go together."""
+        if not 0 < self.rate < math.inf:
+            raise ValueError(f"rate: {self.rate:g} is not above 0")
+        if self.burst < 1:
+            raise ValueError(f"burst: {self.burst} is not above 0")
+
+
+class Pace:
+    """A token bucket for arrivals: a crowd does not hold up those that are already there."""
+
+    def __init__(self) -> None:
+        """With a full bucket."""
+        self._tokens = math.inf
+        self._at = 0.0
+
+    def take(self, now: float, rule: Arrivals | None) -> float:
+        """Take a token at this time, in seconds; how long to wait for it, 0 if it was there."""
+        if rule is None:
+            self._tokens = math.inf
+            return 0.0
+        self._tokens = min(self._tokens + max(now - self._at, 0.0) * rule.rate, rule.burst)
+        self._at = now
+        # Danger: by rounding, a token may lack a trace for ever where the clock is read coarsely.
+        if self._tokens < 1 - TRACE:
+            return max((1 - self._tokens) / rule.rate, TRACE)
+        self._tokens -= 1
+        return 0.0
+
+
 class Turns:
     """The credit of one connection."""
 
--- a/frostfall/limits/wheel.py
+++ b/frostfall/limits/wheel.py
@@ -8,25 +8,22 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from typing import Generic, TypeVar
+from typing import Generic, TypeVar, cast
 
 BITS = 6  # of slots a level: 64, so that three levels reach 18 hours in quarter seconds
 SLOTS = 1 << BITS
 LEVELS = 4
 
-Owner = TypeVar("Owner")
+class Timer:
+    """One deadline; what has one is a kind of it. A wheel sets it, moves it and calls it off."""
 
+    # Danger: a timer beside its owner, each naming the other, would keep every ended connection until the
+    # collector comes by.
 
-class Timer(Generic[Owner]):
-    """One deadline of one owner; a wheel sets it, moves it and calls it off."""
-
-    __slots__ = ("_slot", "due", "owner")
-
-    def __init__(self, owner: Owner) -> None:
+    def __init__(self) -> None:
         """Not set."""
-        self.owner = owner
         self.due = -1  # the turn in which it comes due; -1: not set
-        self._slot: dict[Timer[Owner], None] | None = None
+        self._slot: dict[Timer, None] | None = None
 
     @property
     def armed(self) -> bool:
@@ -34,13 +31,16 @@
         return self.due >= 0
 
 
-class Wheel(Generic[Owner]):
+Kind = TypeVar("Kind", bound=Timer)
+
+
+class Wheel(Generic[Kind]):
     """Timers by turns; `advance` is called once for each turn, or with a later one to catch up."""
 
     def __init__(self, turn: int = 0) -> None:
         """Begin at a turn."""
         self.turn = turn
-        self._levels: list[list[dict[Timer[Owner], None]]] = [
+        self._levels: list[list[dict[Timer, None]]] = [
             [{} for _ in range(SLOTS)] for _ in range(LEVELS)]
         self._count = 0
 
@@ -48,7 +48,7 @@
         """How many timers are set."""
         return self._count
 
-    def set(self, timer: Timer[Owner], turns: int) -> None:
+    def set(self, timer: Kind, turns: int) -> None:
         """Let it come due after so many turns, at least one, whenever it was to come due before."""
         due = self.turn + max(turns, 1)
         if timer._slot is not None:
@@ -62,17 +62,17 @@
         timer.due = due
         self._place(timer)
 
-    def call_off(self, timer: Timer[Owner]) -> None:
+    def call_off(self, timer: Kind) -> None:
         """Let it not come due."""
         if timer._slot is not None:
             timer._slot.pop(timer, None)
             timer._slot, timer.due = None, -1
             self._count -= 1
 
-    def advance(self, turn: int) -> Iterator[Owner]:
-        """Go on to this turn; the owners of the timers that come due on the way, in the order of their turns.
+    def advance(self, turn: int) -> Iterator[Kind]:
+        """Go on to this turn; the timers that come due on the way, in the order of their turns.
 
-        An owner may set or call off timers meanwhile. One that is called off before it has been given is not
+        Timers may be set or called off meanwhile. One that is called off before it has been given is not
         given.
         """
         while self.turn < turn:
@@ -90,7 +90,7 @@
                 else:
                     timer.due = -1
                     self._count -= 1
-                    yield timer.owner
+                    yield cast(Kind, timer)
 
     def _cascade(self) -> None:
         """Bring the timers of a coarse slot that begins now down to finer ones."""
@@ -103,7 +103,7 @@
             for timer in moved:
                 self._place(timer)
 
-    def _place(self, timer: Timer[Owner]) -> None:
+    def _place(self, timer: Timer) -> None:
         due = max(timer.due, self.turn)
         ahead = due - self.turn
         for level in range(LEVELS):
--- a/frostfall/net/agent.py
+++ b/frostfall/net/agent.py
@@ -192,7 +192,12 @@
         if request is None or request.done or self._group is None:
             _log.error("attempt for a request that has ended", request=action.request)
             return
-        attempt, number = Attempt(request.statement.class_name), len(request.attempts)
+        number = len(request.attempts)
+
+        def slowed() -> None:  # told before the attempt's end, so that no further one goes there
+            self.post(api.ServerSlowed(action.server))
+
+        attempt = Attempt(request.statement.class_name, slowed)
         deadline = min(began + action.timeout, request.deadline) if action.timeout else request.deadline
         request.attempts.append(attempt)
         target = self._addresses.get(action.server)
@@ -217,8 +222,6 @@
         if outcome is not api.Outcome.SUCCESS:
             _log.debug("attempt ended", request=name, server=action.server, outcome=outcome.name,
                        progress=ending.progress.name, why=ending.why)
-        if ending.stalled:  # first of all, so that no further attempt goes there
-            self.post(api.ServerSlowed(action.server))
         if isinstance(ending.answer, Row):
             self._finish(name, ending.answer.data + READY)
         elapsed = self.clock.now() - began
--- a/frostfall/net/appliances.py
+++ b/frostfall/net/appliances.py
@@ -13,7 +13,6 @@
 from frostfall.interface import Limits
 from frostfall.limits.guard import Guard, Side
 from frostfall.limits.shedding import Reason
-from frostfall.limits.wheel import Timer
 from frostfall.net.clock import Clock
 from frostfall.net.streams import ENDED, Sockets, Stream, connect
 from frostfall.net.watch import TURN, Watch, Watched
@@ -29,17 +28,17 @@
 _log = log.get("appliances")
 
 
-class Connection:
+class Connection(Watched):
     """One connection to an appliance."""
 
     def __init__(self, address: Address, stream: Stream, guard: Guard[Any]) -> None:
         """Speak over this stream."""
+        super().__init__()
         self.address = address
         self.stream = stream
         self.machine = ClientSide(USER, DATABASE)
         self.idle_since = 0
         self.side = Side()
-        self.timer: Timer[Watched] = Timer(self)
         self.attempt: Attempt | None = None  # the one under way
         self.unwritten = 0  # bytes of its query that the kernel has not taken yet
         self._guard = guard
@@ -51,6 +50,8 @@
         reason = self._guard.server_reads(self.side, now, self.unwritten + self.stream.unsent)
         if reason is None and self.attempt.progress is Progress.ANSWERING:
             reason = self._guard.server_sends(self.side, now)
+            if self._guard.server_suspect(self.side, now):
+                self.attempt.suspect()
         if reason is None:
             return TURN
         self._guard.tally.note(reason, str(self.address))
@@ -66,8 +67,10 @@
 class Attempt:
     """One attempt under way; `give_up` ends it at once."""
 
-    def __init__(self, class_name: str = "") -> None:
-        """Not begun, for a request of this class."""
+    def __init__(self, class_name: str = "", slowed: Callable[[], None] = lambda: None) -> None:
+        """Not begun, for a request of this class; `slowed` is called once if the server turns slow in it."""
+        self._slowed = slowed
+        self.suspected = False
         self.class_name = class_name
         self.progress = Progress.NO_CONNECTION
         self.given_up = False
@@ -79,8 +82,15 @@
         self.given_up = True
         self.scope.cancel()
 
+    def suspect(self) -> None:
+        """The server goes slowly so far; the attempt goes on, but others should go elsewhere."""
+        if not self.suspected:
+            self.suspected = True
+            self._slowed()
+
     def stall(self, reason: Reason) -> None:
         """Stop waiting, as the server goes too slowly; the connection closes."""
+        self.suspect()
         self.stalled = reason
         self.scope.cancel()
 
@@ -134,8 +144,8 @@
             # Only a scope that ended the wait comes here: the time is over, or the attempt was given up.
             if connection is not None and not attempt.given_up and not attempt.stalled and (
                     self._guard.server_unfinished(connection.side, self._watch.now)):
-                attempt.stalled = Reason.SERVER_SENDS_SLOWLY
-                self._guard.tally.note(attempt.stalled, str(address))
+                attempt.stall(Reason.SERVER_SENDS_SLOWLY)
+                self._guard.tally.note(Reason.SERVER_SENDS_SLOWLY, str(address))
             ending = Ending(attempt.progress, cancelled=attempt.given_up, stalled=attempt.stalled is not None,
                             timed_out=not attempt.given_up and attempt.stalled is None,
                             why=attempt.stalled.value if attempt.stalled else "")
@@ -166,12 +176,14 @@
                 side.class_name = attempt.class_name
                 side.reading.rest()
                 side.sending.rest()
-                self._watch.arm(connection, TURN)
+                if not connection.armed:
+                    self._watch.arm(connection, TURN)
             await self._write(connection, attempt, data)
             while machine.answer is None:
                 received = await stream.receive()
                 if attempt.progress is not Progress.ANSWERING:
-                    attempt.progress, side.half_since = Progress.ANSWERING, self._watch.now
+                    attempt.progress = Progress.ANSWERING
+                    side.half_since, side.half_from = self._watch.now, side.given
                 side.given += len(received)
                 machine.feed(received)
         except ENDED as error:
--- a/frostfall/net/clients.py
+++ b/frostfall/net/clients.py
@@ -17,10 +17,9 @@
 from frostfall.config import Address
 from frostfall.limits.guard import Guard, Side
 from frostfall.limits.shedding import Reason
-from frostfall.limits.turns import Turns
-from frostfall.limits.wheel import Timer
+from frostfall.limits.turns import Pace, Turns
 from frostfall.net.streams import ENDED, Sockets, Stream, unconnected
-from frostfall.net.watch import TURN, Watch, Watched
+from frostfall.net.watch import Watch, Watched
 from frostfall.protocol import pg, pg_server
 from frostfall.protocol.pg_server import Closed, Query, Reply, ServerSide
 
@@ -31,6 +30,7 @@
 CROWD_MOST = 8  # connections beyond the bound that are open at once, only to be refused
 FRESH = 0.05  # seconds: a usual client writes as soon as it has connected; until then it is not silent
 QUIET = 2.0  # seconds without an open request after which a connection may be closed, by the protocol
+LOOK = 0.25  # seconds between looks at a client that something is owed to or by
 SHORT_PART = 0.5  # of the clients' bound: with more open, those that are idle for long are closed
 SMALL = 8 * 1024  # bytes: what a connection may always hold unread, for all of them together is little
 
@@ -47,16 +47,16 @@
         """The client has gone."""
 
 
-class Client:
+class Client(Watched):
     """One client's connection."""
 
     def __init__(self, stream: Stream, front: Front, owner: Clients, crowded: bool = False,
                  source: str = "") -> None:
         """Serve this stream, which came from this address; a crowded one gets one answer, a refusal."""
+        super().__init__()
         self.crowded = crowded
         self.source = source
         self.side = Side()
-        self.timer: Timer[Watched] = Timer(self)
         self._turns = Turns(owner.guard.rules.turn)
         self.opened = monotonic()
         self.request: str | None = None  # the request that waits for its answer
@@ -145,22 +145,22 @@
                 return None
         if self._out:
             if guard.rules.clients.reads(self.side.class_name) or now - self._out_since <= longest:
-                return TURN
+                return LOOK
             self._leave()  # without a least rate: beyond that time nobody reads what is worth nothing by now
         elif self._machine.busy or self._last:
             pass
         elif self.side.half_since is not None and guard.rules.clients.sending:
             if not (reason := guard.client_sends(self.side, now)):
-                return TURN
+                return LOOK
             guard.tally.note(reason, self.source)
             self._refuse(pg.Malformed.SILENT)
         elif not self._asked or self.side.half_since is not None:
             since = self._came if self.side.half_since is None else self.side.half_since
             since = since if self._asked else self._came
             if now - since <= QUIET:
-                return max(QUIET - (now - since), TURN)
+                return max(QUIET - (now - since), LOOK)
             self._refuse(pg.Malformed.SILENT)
-        return TURN if waits else None
+        return LOOK if waits else None
 
     def shed(self, reason: Reason) -> None:
         """Give the client up: it could not be told anything, as nothing goes out to it in time."""
@@ -184,7 +184,7 @@
             return
         self.side.written += len(data)
         if data and self._owner.guard.rules.watches_clients:
-            self._owner.watch.arm(self, TURN)
+            self._owner.watch.arm(self, LOOK)
         if data and not self._out:
             try:
                 data = data[self._stream.write(data):]
@@ -194,9 +194,15 @@
         if data:
             if not self._out:
                 self._out_since, self._flushed = self._owner.watch.now, anyio.Event()
-                self._owner.watch.arm(self, TURN)
+                self._owner.watch.arm(self, LOOK)
                 self._owner.later(self._flush)
             self._out += data
+            if self._owner.guard.rules.waiting:
+                # Danger: accounted for at the next look only, what a crowd makes wait would be held.
+                self._owner.guard.hold_at_once(self, self.source, len(self._out))
+                self._owner.relieve(self)
+                if self._gone:
+                    return
         if last and not self._last:
             # Danger: a query that was read is taken, and lost if the connection ends; one that was not read
             # is sent once more by its client. So reading ends first; what has come by now comes through.
@@ -248,7 +254,7 @@
         half = self._machine.buffered and not (self._machine.busy or self._last or self._out)
         if half and self.side.half_since is None:
             self.side.half_since = self._owner.watch.now
-            self._owner.watch.arm(self, TURN if self._owner.guard.rules.clients.sending else QUIET)
+            self._owner.watch.arm(self, LOOK if self._owner.guard.rules.clients.sending else QUIET)
         elif not half and self.side.half_since is not None:
             self.side.half_since = None
             self.side.sending.rest()
@@ -343,6 +349,7 @@
         self._most = most
         self._memory, self._held = memory, 0
         self._spare = spare
+        self._pace = Pace()
         self._open: set[Client] = set()
         # In the order of their coming, each without those that are about to end.
         self._silent: dict[Client, None] = {}
@@ -418,6 +425,9 @@
             while len(self._crowd) >= CROWD_MOST and not self._push_out():
                 await anyio.sleep(PAUSE)
             for _ in range(ACCEPT_MOST):
+                if wait := self._pace.take(monotonic(), self.guard.rules.arrivals):
+                    await anyio.sleep(wait)
+                    break
                 try:
                     raw, address = listener.accept()
                 except (BlockingIOError, ConnectionAbortedError):
@@ -491,7 +501,7 @@
     def look_at_all(self) -> None:
         """Look at every connection in the next turn: other rules hold."""
         for client in self._open:
-            self.watch.arm(client, TURN)
+            self.watch.arm(client, LOOK)
 
     def turn(self) -> None:
         """With many open, close those that have been idle for long; told once a while who was shed."""
--- a/frostfall/net/watch.py
+++ b/frostfall/net/watch.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import math
+from abc import ABC, abstractmethod
 from collections.abc import Callable
 from time import monotonic
-from typing import Protocol
 
 import anyio
 
@@ -13,19 +13,16 @@
 from frostfall.limits.attention import Attention
 from frostfall.limits.wheel import Timer, Wheel
 
-TURN = 0.25  # seconds: how finely deadlines of connections are kept
-GAP_MOST = 2 * TURN  # seconds: between two turns, more than this the agent has slept through
+TURN = 0.1  # seconds: how finely deadlines of connections are kept
+GAP_MOST = 0.5  # seconds: between two turns, more than this the agent has slept through
 
 _log = log.get("watch")
 
 
-class Watched(Protocol):
+class Watched(Timer, ABC):
     """What is looked at."""
 
-    @property
-    def timer(self) -> Timer[Watched]:
-        """Its place in the wheel."""
-
+    @abstractmethod
     def look(self, now: float) -> float | None:
         """Check what has its time; seconds until the next look, or None until it is armed again."""
 
@@ -51,13 +48,12 @@
     def arm(self, owner: Watched, seconds: float) -> None:
         """Look at it after so many seconds, or before."""
         turns = math.ceil(seconds / TURN)
-        timer = owner.timer
-        if not timer.armed or timer.due > self._wheel.turn + turns:
-            self._wheel.set(timer, turns)
+        if not owner.armed or owner.due > self._wheel.turn + turns:
+            self._wheel.set(owner, turns)
 
     def disarm(self, owner: Watched) -> None:
         """Look at it no more."""
-        self._wheel.call_off(owner.timer)
+        self._wheel.call_off(owner)
 
     def turn(self) -> None:
         """Look at all whose time has come."""
@@ -70,7 +66,7 @@
                 _log.exception("look failed")
                 again = None
             if again is not None:
-                self._wheel.set(owner.timer, math.ceil(again / TURN))
+                self._wheel.set(owner, math.ceil(again / TURN))
 
     async def run(self, each: Callable[[], None]) -> None:
         """Take turns for good; `each` is called after every one."""
