--- /dev/null
+++ b/tests/test_operator.py
@@ -0,0 +1,89 @@
+"""The operator file: what it takes, what it says of faults, and the command line around it."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from frostfall import config
+from frostfall.cli import main
+from frostfall.keylines import line_of, steps
+from frostfall.limits.rules import SlowPeers
+from frostfall.options import Options
+from tests.standins import configured
+
+ROOT = Path(__file__).parent.parent
+ANNOTATED = ROOT / "deploy" / "operator.json5"
+FAULTS = {
+    "{\n slow_peers: {\n  clients: {reading: {rate: 5, windw: 2}}}}": (3, "reading.windw: is no key here"),
+    "{\n slow_peers: {\n  clients: {reading: {window: 2}}}}": (3, "clients.reading.rate: is missing"),
+    "{slow_peers:\n {waiting: {all_bytes: 5}}}": (2, "waiting.source_bytes: 4194304 is over all_bytes, 5"),
+    "{slow_peers: {\n log_every: -1}}": (2, "slow_peers.log_every: -1 is not above 0"),
+    "{slow_peers: {\n\n clients: {reading: {\n rate: 'x'}}}}": (4, "rate: Expected `float`, got `str`"),
+    "{slow_peers: {clients: {reading: {rate: 5,\n window: 2, grace: 2}}}}": (2, "grace: 2 is not from 0"),
+    "{\n slow_peers: [}\n}": (2, "Unexpected"),
+    "{slow_peers: {servers: {\n apart: {share: 1.5}}}}": (2, "apart.share: 1.5 is not from 0 to below 1"),
+}
+
+
+@pytest.mark.parametrize("text", FAULTS)
+def test_a_fault_names_the_file_the_line_and_the_key(text: str) -> None:
+    line, part = FAULTS[text]
+    with pytest.raises(config.ConfigError) as caught:
+        config.operator(text.encode(), "own.json5")
+    assert str(caught.value).startswith(f"own.json5, line {line}: ")
+    assert part in str(caught.value)
+
+
+@pytest.mark.parametrize("text", [b"", b"\xff\xfe", b"[1]", b"{a: 1, a: 2}", b"[" * 5000, b"{a: {} b}"])
+def test_what_is_no_operator_file_is_a_plain_error(text: bytes) -> None:
+    with pytest.raises(config.ConfigError, match=r"own\.json5"):
+        config.operator(text, "own.json5")
+
+
+def test_without_a_file_or_with_an_empty_one_all_is_off() -> None:
+    assert config.operator(b"{} // nothing", "own.json5") == Options()
+    assert configured().options.slow_peers is None
+    assert not SlowPeers().watches_clients and not SlowPeers().watches_servers
+
+
+def test_the_annotated_file_gives_the_defaults_as_they_are() -> None:
+    told = config.operator(ANNOTATED.read_bytes(), "operator.json5").slow_peers
+    assert told is not None
+    plain = SlowPeers()
+    assert (told.turn, told.log_every) == (plain.turn, plain.log_every)
+    assert told.servers.apart == plain.servers.apart
+    assert told.waiting == type(told.waiting)()
+    assert told.clients.sending_most == plain.clients.sending_most
+
+
+def test_a_class_that_the_settings_do_not_name_is_a_fault() -> None:
+    with pytest.raises(config.ConfigError, match=r"clients\.classes\.nap: no class of the settings"):
+        configured(options="{slow_peers: {clients: {classes: {nap: {reading: {rate: 5}}}}}}")
+    own = configured(options="""{slow_peers: {clients: {
+        reading: {rate: 9}, classes: {order: {reading: {rate: 5}}}}}}""")
+    assert own.options.slow_peers is not None
+    clients = own.options.slow_peers.clients
+    assert [rule.rate for name in ("order", "read") if (rule := clients.reads(name))] == [5, 9]
+
+
+def test_the_line_of_a_key_is_found_among_comments_strings_and_lists() -> None:
+    text = '{ // "b": 1\n a: "b: {", /* b:\n */ "b": [1,\n {c: 2},\n {c: 3}], }'
+    assert line_of(text, ("b",)) == 3
+    assert line_of(text, ("b", "1", "c")) == 4
+    assert line_of(text, ("b", "2", "c")) == 5
+    assert line_of(text, ("b", "2", "missing")) == 3
+    assert steps("$.a.b[2].c") == ("a", "b", "2", "c")
+
+
+def test_check_tells_of_each_file_and_exits_with_two_where_one_is_faulty(tmp_path: Path) -> None:
+    wrong = tmp_path / "wrong.json5"
+    wrong.write_text("{slow_peers: {log_every: 0}}")
+    good = CliRunner().invoke(main, ["check", str(ROOT / "deploy" / "example.json"), str(ANNOTATED)])
+    assert good.exit_code == 0 and good.output.count(": good") == 2
+    bad = CliRunner().invoke(main, ["check", str(wrong), str(ANNOTATED), str(tmp_path / "none.json")])
+    assert bad.exit_code == 2 and bad.output.count(": good") == 1
+    assert f"{wrong}, line 1: slow_peers.log_every: 0 is not above 0" in bad.output
+    assert "cannot read" in bad.output
