--- a/frostfall/bench/peers.py
+++ b/frostfall/bench/peers.py
@@ -224,6 +224,11 @@
         self.ended: float | None = None  # seconds after which the agent ended the connection
         self.got = 0
 
+    @property
+    def shed(self) -> float | None:
+        """Seconds after which the agent ended the connection with most unread; None where it did not."""
+        return self.ended if self.got * 2 < self.size * self.queries else None
+
     async def run(self, address: Address) -> None:
         """Ask, then read until the agent ends the connection or the task is cancelled."""
         stream = await dial(address, small=True)
