--- a/frostfall/limits/guard.py
+++ b/frostfall/limits/guard.py
@@ -43,10 +43,15 @@
 
     def __init__(self, rules: SlowPeers | None = None) -> None:
         """Under these rules, which may be replaced at any time (`renew`)."""
-        self._rules = rules or NOTHING
+        self._adopt(rules)
         self.budget: Budget[Name] = Budget(self._rules.waiting or UNBOUNDED)
         self.tally = Tally(self._rules.log_every)
 
+    def _adopt(self, rules: SlowPeers | None) -> None:
+        self._rules = rules or NOTHING
+        # Asked with every answer and attempt, so that it is not worked out each time.
+        self.watches_clients, self.watches_servers = self._rules.watches_clients, self._rules.watches_servers
+
     @property
     def rules(self) -> SlowPeers:
         """The rules in force."""
@@ -54,7 +59,7 @@
 
     def renew(self, rules: SlowPeers | None) -> None:
         """Go by other rules from now on; what waits stays accounted for, and meters go on."""
-        self._rules = rules or NOTHING
+        self._adopt(rules)
         self.budget.allowance = self._rules.waiting or UNBOUNDED
         self.tally.every = self._rules.log_every
 
--- a/frostfall/limits/meter.py
+++ b/frostfall/limits/meter.py
@@ -59,14 +59,13 @@
     longest stall in the window is forgiven up to the grace.
     """
 
-    __slots__ = ("_due", "_marks", "_window_stall", "standing")
+    __slots__ = ("_due", "_marks", "standing")
 
     def __init__(self) -> None:
         """Nothing has been moved, nothing is owed."""
         self._due = 0  # up to where the peer owed at the last look
         # (time, moved), where more had moved; oldest first
         self._marks: deque[tuple[float, int]] | None = None
-        self._window_stall = 0.0
         self.standing = Standing.IDLE
 
     def rest(self) -> None:
--- a/frostfall/net/appliances.py
+++ b/frostfall/net/appliances.py
@@ -172,7 +172,7 @@
             data = machine.ask(statement())
             side.written += len(data)
             connection.unwritten = len(data)
-            if self._guard.rules.watches_servers:
+            if self._guard.watches_servers:
                 side.class_name = attempt.class_name
                 side.reading.rest()
                 side.sending.rest()
--- a/frostfall/net/clients.py
+++ b/frostfall/net/clients.py
@@ -134,7 +134,7 @@
             return None
         guard, longest = self._owner.guard, self._owner.longest
         waits = len(self._out)
-        if guard.rules.watches_clients:
+        if guard.watches_clients:
             waits += self._stream.unsent
             reason = guard.client_reads(self, self.side, self.source, now, waits)
             if reason:
@@ -183,7 +183,7 @@
         if self._gone:
             return
         self.side.written += len(data)
-        if data and self._owner.guard.rules.watches_clients:
+        if data and self._owner.guard.watches_clients:
             self._owner.watch.arm(self, LOOK)
         if data and not self._out:
             try:
