--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -10,6 +10,7 @@
 
 from frostfall import interface as api
 from frostfall.interface import Availability, Effect, Outcome, Phase, Verdict, VoteReply
+from frostfall.knowledge.servers import Servers
 from frostfall.linalg import divergence, evidence, mixing_rate, partner, round_length, threshold
 from frostfall.routing.apart import Apart
 from frostfall.state import Attempt, Ballot, Exchange, Known, Request, Test
@@ -23,6 +24,7 @@
 FLAG_FLOOR, MEMORY = 0.003, 600.0  # disputes always reckoned with; pooled outcomes p0 remembers: counted
 LEAST_POOLED, VOTES_USE, LOGGED = 10, 0.5, 3  # outcomes a vote needs; part of votes a second used; who logs
 SETTLE, ALONE = 5_000_000, 0.2  # younger machines may be slow; others' failures against one's
+MESSAGE = 256  # characters that a peer takes
 LUCK, COLD_LEAST = 2.0, 1.0  # deviations of chance the cold budget keeps clear of; its least sends a second
 NEAR, NEAR_USES = 12, 4  # servers that an agent keeps to at least; sends that make a connection worth while
 SAMPLE, KEEN = 6, 4.0  # servers a request chooses among, in any fleet; with odds of cost to minus this power
@@ -68,6 +70,7 @@
         self.flags, self.calm, self.gone = dict[int, int](), 0.0, -1  # disputes; late before; build gone back
         self.test: Test | None = None
         self.ballot: Ballot | None = None
+        self.shared = Servers(self.agents, self.turns, TICK)  # what all agents saw of each server
         self.apart = Apart()  # servers that turned slow in the middle of an answer
         self.handlers: dict[type, Any] = {
             api.RequestArrived: self._arrive, api.AttemptEnded: self._ended, api.TimerFired: self._timer,
@@ -137,6 +140,7 @@
 
     def _weigh(self) -> None:
         self.trials = [s for s in self.fleet if self.test and s.info.build == self.test.key[0]]
+        self.shared.listed({s.start for s in self.servers.values()}, [s.start for s in self.trials])
         on_top = len(self.trials) if self.rollout and self.rollout.keeps_old_servers else 0
         self.eager = EAGER * (1 + 8 * on_top / max(len(self.fleet), 1))
 
@@ -350,7 +354,9 @@
         # Danger: shunning a failing trial build would end the evidence on it, and shunning only the failing
         # machines of the earlier one would flatter p0. So a machine is held against others of its build.
         norm, (errors, slow) = self.norms[info.build], self._faded(server)  # fades by itself: counts in full
-        cost *= math.pow(slow / norm[1] / (1.0 - min(max(errors - norm[0], 0.0), 0.9)) ** 2, KEEN / keen)
+        # Danger: an agent that asks a server now and then forgets its errors before it meets the next.
+        errors = min(max(max(errors, server.errors_seen) - norm[0], 0.0), 0.9)
+        cost *= math.pow(slow / norm[1] / (1.0 - errors) ** 2, KEEN / keen)
         trial = self.test if self.test and info.build == self.test.key[0] else None
         cost *= 2.0 ** -(self.eager * informed * (1 + min(trial.lean, 1.0))) if trial else 1.0
         cost /= 1.0 if trial and self._short() else self._capacity(server)
@@ -410,6 +416,7 @@
         if event.outcome in (Outcome.SUCCESS, Outcome.ERROR, Outcome.TIMED_OUT, Outcome.RESET):
             server.errors += LEARN_ERRORS * ((event.outcome is not Outcome.SUCCESS) - server.errors)
             norm[0] += LEARN_NORM * (server.errors - norm[0])
+            self.shared.ended(server.start, event.outcome is Outcome.ERROR)  # who is late tells of load
         self.rate = self._served() + (event.outcome is Outcome.SUCCESS) * 1e6 / RATE_MEMORY
         if event.outcome in (Outcome.SUCCESS, Outcome.TIMED_OUT):
             step = SHED_UP if event.elapsed > request.kind.aim else -SHED_DOWN
@@ -451,7 +458,8 @@
                 old, was = self.test, self._forget(news.build)
                 base = old.base if old and old.key[0] == news.build else [
                     sum(row[k] for (b, _), row in self.rows.items() if b == was) for k in (0, 1)]
-                self.test = Test(key, self.now - news.age, base, [*[0.0] * 4, *base, *[0.0] * 6])
+                self.test = Test(key, self.now - news.age, base, [*[0.0] * 4, *base, *[0.0] * 7])
+                self.shared.on_trial(key)
                 self._weigh()
         if news.reply in (VoteReply.OVERLOADED, VoteReply.ERROR, VoteReply.UNKNOWN) and self.ballot:
             self.ballot.renew_at = self.now + 300_000 + self.random.randrange(500_000)
@@ -526,13 +534,9 @@
             facts = (failed, None, None if failed else False)  # lateness is judged in the step
             for k, (bad, stream) in enumerate(zip(facts, self._streams(test, request.kind.name))):
                 test.innovation[k] += evidence(bad, *stream) if bad is not None and stream else 0.0
-            server.tried, server.failed = server.tried + 1, server.failed + failed
-            if failed:  # Danger: of few machines on trial, one that fails alone would send a good build back.
-                others, name = [s for s in self.trials if s is not server], server.info.id
-                tried, poor = sum(s.tried for s in others), sum(s.failed for s in others)
-                blame = evidence(True, self._p0(test, request.kind.name), MARGIN) + test.blame.pop(name, 0.0)
-                alone = tried >= LEAST_POOLED and poor * server.tried < ALONE * (server.failed - 2) * tried
-                test.innovation[0], test.blame[name] = test.innovation[0] - blame * alone, blame * (not alone)
+            blame = evidence(True, self._p0(test, request.kind.name), MARGIN) if failed else 0.0
+            test.failures += failed
+            self.shared.judged(server.start, failed, blame)
 
     def _disputed(self, event: api.AnswerDisputed) -> None:
         # Danger: a wrong answer counts as a good one when it comes; only a flag tells, and some flags err.
@@ -546,10 +550,12 @@
 
     def _hear(self, event: api.PeerMessage) -> None:
         # Danger: a peer on another build or stage, or a mangled message, must not reach the score.
-        test, told = self.test, Exchange.decode(event.text)
-        sender = partner(self.set.agent, self.agents, self.turn, self.turns)
-        if test and told and event.sender == sender and (
-                (*test.key, self.turn & 0xFFFF) == (told.build, told.stage, told.turn)):
+        test, (score, _, servers) = self.test, event.text.partition(" ")
+        if event.sender != partner(self.set.agent, self.agents, self.turn, self.turns):
+            return
+        self.shared.sums.hear(self.turn, servers)
+        told = Exchange.decode(score)
+        if test and told and (*test.key, self.turn & 0xFFFF) == (told.build, told.stage, told.turn):
             test.heard = told.numbers
 
     def _tick(self) -> None:
@@ -558,18 +564,28 @@
             self.ask_at = self.now + max(self.rules.ask_within, self.agents * APART)
             self.actions.append(api.Subscribe())
         test, me, last, self.turn = self.test, self.set.agent, self.turn, self.now // TICK
-        if test is None or self.rollout is None:
+        if self.rollout is None:
             return
+        itself = partner(me, self.agents, last, self.turns) == me
+        self.shared.sums.turn_over(last, itself)
         # Danger: a silent partner freezes its term. Its half of the weight goes back to our own.
-        if test.heard and last == self.turn - 1:
+        if test and test.heard and last == self.turn - 1:
             test.mix = [(own + told) / 2 for own, told in zip(test.mix, test.heard)]
-        met = test.heard is not None or partner(me, self.agents, last, self.turns) == me
-        test.heard, test.meets, test.turns = None, test.meets + met, test.turns + 1
+        if test:
+            met = test.heard is not None or itself
+            test.heard, test.meets, test.turns = None, test.meets + met, test.turns + 1
         if self.turn % self.turns == 0:
-            self._step(test, self.rollout)
+            self.shared.step()
+            for server in self.fleet:
+                server.errors_seen = self.shared.errors(server.start)
+            if test:
+                self._step(test, self.rollout)
         if (peer := partner(me, self.agents, self.turn, self.turns)) != me and self.limits.peers:
-            self.actions.append(api.TellPeer(peer, Exchange(*test.key, self.turn, test.mix).encode()))
-        self._cast(test, self.rollout)
+            text = Exchange(*test.key, self.turn, test.mix).encode() if test else ""
+            servers = self.shared.sums.offer(self.turn, MESSAGE - 1 - len(text))
+            self.actions.append(api.TellPeer(peer, f"{text} {servers}"))
+        if test:
+            self._cast(test, self.rollout)
 
     def _step(self, test: Test, rollout: api.Rollout) -> None:
         # Danger: an agent that met all its partners, most of them cut off, has no more behind its numbers.
@@ -578,6 +594,9 @@
         test.met = self.turns - test.missed
         test.score, test.base, test.timed = test.mix[:3], test.mix[4:6], test.mix[6:10]
         test.count, test.carried = test.mix[3], test.mix[10]
+        pool = self._pool(test)
+        alone = self.shared.apart(test.count * pool, test.mix[12] * pool, LEAST_POOLED, ALONE) / pool
+        test.score[0] -= alone
         # Danger: held against a p0 of a moment ago, the onset of a shared slowdown speaks against the trial.
         fade = math.exp(-self.turns * TICK / LATE_MEMORY)
         test.recent = [old * fade + new for old, new in zip(test.recent, test.timed)]
@@ -599,9 +618,11 @@
         test.score = [min(score, band[0]) for score, band in zip(test.score, bands)]
         kept = min(1.0, MEMORY / self._pool(test) / max(test.base[0], 1e-9))
         base = (number * kept + fresh for number, fresh in zip(test.base, test.fresh))
-        own = (score + fresh for score, fresh in zip(test.score, test.innovation))
-        test.mix = [*own, test.count + test.outcomes, *base, *test.fresh[2:], self.carried, gone]
-        test.innovation, test.outcomes, test.fresh = [0.0] * 3, 0, [0.0] * 6
+        first, *more = (score + fresh for score, fresh in zip(test.score, test.innovation))
+        poor = test.mix[12] + test.failures
+        test.mix = [first + alone, *more, test.count + test.outcomes, *base, *test.fresh[2:], self.carried,
+                    gone, poor]
+        test.innovation, test.outcomes, test.failures, test.fresh = [0.0] * 3, 0, 0, [0.0] * 6
 
     def _decide(self, test: Test, rollout: api.Rollout) -> None:
         verdict, votes, trial = Verdict.NONE, rollout.control is api.Control.VOTES, test.key[1] >= 0
--- a/frostfall/net/agent.py
+++ b/frostfall/net/agent.py
@@ -113,7 +113,8 @@
             name = getattr(event, "request", None)
             if isinstance(name, str) and name in self._requests:
                 self._finish(name, failed())
-            return
+            # Danger: a timer let go by a fault would never come again, and with it all exchanges and votes.
+            actions = [action for action in self.brain.actions if isinstance(action, api.SetTimer)]
         for action in actions:
             try:
                 self._carry_out(action)
--- a/frostfall/state.py
+++ b/frostfall/state.py
@@ -17,7 +17,7 @@
     key: tuple[int, int]
     since: int
     base: list[float]  # the earlier build's outcomes and failures, per agent
-    mix: list[float]  # being mixed in this round: score, count, base, timed, served
+    mix: list[float]  # being mixed in this round: score, count, base, timed, served, missed, trial's failures
     timed: list[float] = field(default_factory=lambda: [0.0] * 4)  # last round: earlier timed, late; trial so
     recent: list[float] = field(default_factory=lambda: [0.0] * 2)  # earlier timed, late, fading
     carried: float = 0.0  # by one server, requests a second, per agent
@@ -25,6 +25,7 @@
     count: float = 0.0  # outcomes per agent, mixed like the score
     innovation: list[float] = field(default_factory=lambda: [0.0] * 3)
     outcomes: int = 0
+    failures: int = 0  # among them
     fresh: list[float] = field(default_factory=lambda: [0.0] * 6)  # base and timed, since the last step
     heard: list[float] | None = None  # what this turn's partner sent
     meets: int = 0  # exchanges of this round that took place
@@ -32,13 +33,12 @@
     met: float = 0.0  # the same of the last round, and those that did not, here or on the mean of all
     missed: float = 0.0
     steps: int = 0
-    blame: dict[int, float] = field(default_factory=dict)  # by server: what its failures have added
     lean: float = 0.0  # the worst score's place in its band
     verdict: Verdict = Verdict.NONE
     decided_at: int = 0
 
 
-LAYOUT = struct.Struct("<HbH12e")  # half precision is plenty for a mean that is mixed again and again
+LAYOUT = struct.Struct("<HbH13e")  # half precision is plenty for a mean that is mixed again and again
 LARGEST = 6e4  # what half precision can hold
 
 
@@ -94,8 +94,12 @@
     probed_at: int = 0
     credit: float = 0.0  # sends that the cold budget allowed when it was last reckoned
     credit_at: int = 0
-    tried: int = 0  # outcomes of it on trial, and failures among them
-    failed: int = 0
+    errors_seen: float = 0.0  # recent share of failures by what all agents saw
+
+    @property
+    def start(self) -> tuple[int, int]:
+        """Its name together with its start: after a restart it is another."""
+        return self.info.id, self.info.started_at
 
 
 @dataclass(slots=True)
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -87,6 +87,22 @@
             assert (await client.answer())[0] == b"D"
 
 
+async def test_a_fault_in_a_decision_ends_no_timer(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with listening(Appliance()) as address, serving(configured(instance("s-1", address))) as agent:
+        ticks: list[int] = []
+
+        def broken(last: int, alone: bool) -> None:
+            ticks.append(last)
+            raise KeyError("a fault")
+
+        monkeypatch.setattr(agent.brain.shared.sums, "turn_over", broken)
+        await anyio.sleep(0.45)
+        # Danger: the tick that failed was the last one, and the agent never exchanged or voted again.
+        assert len(ticks) >= 3
+        client = await Client.connect(agent._config.listen)
+        assert (await client.ask(read("t1")))[0] == b"D"
+
+
 async def test_queries_sent_ahead_are_answered_in_order() -> None:
     async with listening(Appliance()) as address, serving(configured(instance("s-1", address))) as agent:
         client = await Client.connect(agent._config.listen)
