--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -23,11 +23,12 @@
 LATE_MOST, LAST_MARGIN, LAST_TIME = 0.34, 0.4, 8_000_000  # of the way to 'back' in a round; calm times'
 FLAG_FLOOR, MEMORY = 0.003, 600.0  # disputes always reckoned with; pooled outcomes p0 remembers: counted
 LEAST_POOLED, VOTES_USE, LOGGED = 10, 0.5, 3  # outcomes a vote needs; part of votes a second used; who logs
-SETTLE, ALONE = 5_000_000, 0.2  # younger machines may be slow; others' failures against one's
+SETTLE = 5_000_000  # younger machines may be slow
 MESSAGE = 256  # characters that a peer takes
 LUCK, COLD_LEAST = 2.0, 1.0  # deviations of chance the cold budget keeps clear of; its least sends a second
 NEAR, NEAR_USES = 12, 4  # servers that an agent keeps to at least; sends that make a connection worth while
 SAMPLE, KEEN = 6, 4.0  # servers a request chooses among, in any fleet; with odds of cost to minus this power
+SEARCH = 30  # servers looked at beyond them, where the cold budget leaves none
 EAGER, EACH = 0.25, 1.5  # doublings of load by which a trial is preferred; requests a server has room for
 LEARN_ERRORS, LEARN_SLOW, LEARN_NORM, LEARN_MEAN = 0.15, 0.07, 0.05, 0.03  # weight of one outcome in a mean
 FORGET, STALE = 3_000_000, 500_000  # what is known of a server's speed, or its load, fades to the fleet's
@@ -38,6 +39,7 @@
 SHUN_FIRST, SHUN_MOST = 300_000, 4_000_000  # how long an unreachable server is left alone, doubling
 PROBE_SHARE, APART = 0.5, 200_000  # probes a request taken; of all agents' calls to discovery, served in turn
 SHED_UP, SHED_DOWN, SHED_MOST = 0.03, 0.01, 0.6  # part shed: up by each late answer, down by each timely one
+SHED_PACE = 40.0  # answers a second from which the steps are these; up to three times as large below
 FILL, IDLE_FILL, IDLE_QUEUE, SPARE = 0.6, 0.9, 0.5, 0.3  # of the aim; if so few wait; kept for the worthiest
 
 
@@ -301,6 +303,10 @@
         urgent = [s for s in self.trials if self._age(s) < self.rules.warm_up and (whole or s in fleet)
                   ] if self._short() else []
         options = [s for s in (*urgent, *some) if room and s.shunned_until <= now and may(request, s)]
+        if some and room and not options:
+            # Danger: with the fleet all cold, what the budget allows lies at servers beyond those kept to.
+            more = (s for s in self.random.sample(fleet, min(SEARCH, len(fleet))) if s.shunned_until <= now)
+            options = [s for s in more if may(request, s)][:SAMPLE]
         if options:
             self.held.pop(request.event.request, None)
             wanted = [s for s in options if self._wanted(request, s)] or options
@@ -403,6 +409,10 @@
 
     def _learn(self, request: Request, attempt: Attempt, event: api.AttemptEnded) -> None:
         server, name = attempt.server, request.kind.name
+        silent = event.outcome is Outcome.UNREACHABLE or (
+            event.outcome is Outcome.TIMED_OUT and server.heard_at <= attempt.sent_at)
+        if silent or event.outcome in (Outcome.SUCCESS, Outcome.ERROR):  # who is late tells of load
+            self.shared.ended(server.start, server.info.zone, event.outcome is Outcome.ERROR, silent)
         if event.outcome is Outcome.UNREACHABLE:
             server.shun = min(max(server.shun * 2, SHUN_FIRST), SHUN_MOST)
             server.shunned_until = self.now + server.shun
@@ -416,10 +426,12 @@
         if event.outcome in (Outcome.SUCCESS, Outcome.ERROR, Outcome.TIMED_OUT, Outcome.RESET):
             server.errors += LEARN_ERRORS * ((event.outcome is not Outcome.SUCCESS) - server.errors)
             norm[0] += LEARN_NORM * (server.errors - norm[0])
-            self.shared.ended(server.start, event.outcome is Outcome.ERROR)  # who is late tells of load
         self.rate = self._served() + (event.outcome is Outcome.SUCCESS) * 1e6 / RATE_MEMORY
         if event.outcome in (Outcome.SUCCESS, Outcome.TIMED_OUT):
             step = SHED_UP if event.elapsed > request.kind.aim else -SHED_DOWN
+            # Danger: with few answers a second, an agent would go on shedding for long. And who waits for a
+            # server that is gone waits for no load.
+            step *= min(max(SHED_PACE / max(self.rate, 1.0), 1.0), 3.0) * (not silent)
             self.shed = min(max(self.shed + step, 0.0), SHED_MOST)
             times = event.elapsed / max(self._usual(request), 1.0)
             server.slow += LEARN_SLOW * (min(max(times, 0.3), 8.0) - server.slow)
@@ -454,6 +466,7 @@
             key = (news.build, news.stage if news.phase is Phase.TRIAL else -1)
             if news.phase in (Phase.GOING_BACK, Phase.WITHDRAWN):
                 self.test, self.gone = None, news.build
+                self.shared.on_trial()
             elif self.test is None or self.test.key != key:
                 old, was = self.test, self._forget(news.build)
                 base = old.base if old and old.key[0] == news.build else [
@@ -576,13 +589,16 @@
             test.heard, test.meets, test.turns = None, test.meets + met, test.turns + 1
         if self.turn % self.turns == 0:
             self.shared.step()
+            avoided = self.shared.avoided([(s.start, s.info.zone) for s in self.fleet], self.random.random)
             for server in self.fleet:
                 server.errors_seen = self.shared.errors(server.start)
+                if server.start in avoided:
+                    server.shunned_until = max(server.shunned_until, self.now + self.turns * TICK)
             if test:
                 self._step(test, self.rollout)
         if (peer := partner(me, self.agents, self.turn, self.turns)) != me and self.limits.peers:
             text = Exchange(*test.key, self.turn, test.mix).encode() if test else ""
-            servers = self.shared.sums.offer(self.turn, MESSAGE - 1 - len(text))
+            servers = self.shared.offer(self.turn, MESSAGE - 1 - len(text))
             self.actions.append(api.TellPeer(peer, f"{text} {servers}"))
         if test:
             self._cast(test, self.rollout)
@@ -595,7 +611,7 @@
         test.score, test.base, test.timed = test.mix[:3], test.mix[4:6], test.mix[6:10]
         test.count, test.carried = test.mix[3], test.mix[10]
         pool = self._pool(test)
-        alone = self.shared.apart(test.count * pool, test.mix[12] * pool, LEAST_POOLED, ALONE) / pool
+        alone = self.shared.apart(test.count * pool, test.mix[12] * pool, LEAST_POOLED) / pool
         test.score[0] -= alone
         # Danger: held against a p0 of a moment ago, the onset of a shared slowdown speaks against the trial.
         fade = math.exp(-self.turns * TICK / LATE_MEMORY)
--- a/frostfall/knowledge/pushsum.py
+++ b/frostfall/knowledge/pushsum.py
@@ -10,53 +10,70 @@
 
 from __future__ import annotations
 
+import math
 import struct
-from base64 import b64decode, b64encode
-from collections.abc import Iterable
+from base64 import b85decode, b85encode
+from collections.abc import Iterable, Sequence, Set
 from dataclasses import dataclass, field
 from zlib import crc32
 
 HEAD = struct.Struct("<HB")  # the turn, and how many entries have evidence, which come first
-FULL, PLAIN = struct.Struct("<3s3e"), struct.Struct("<3s2e")  # a key and its numbers, in half precision
-LARGEST = 6e4  # what half precision can hold
+FULL, PLAIN = struct.Struct("<3s3B"), struct.Struct("<3s2B")  # a key and its numbers, as levels
+LEVELS, UNIT = 12.0, 1e-4  # levels to a factor of e, above the least number told: steps of 8%, up to 17,000
 LEAST = 2e-4  # an entry lighter than this is forgotten: a failure's share in a fleet of thousands
-WORTH, PART = 1.5, 0.1  # failures of all agents together from which an entry is told; of its tries
+WORTH = 1.5  # failures of all agents together from which an entry is told
 MOST = 512  # entries kept: some times the servers of a large fleet
 
 Key = bytes
 Numbers = tuple[float, float, float]
 
 
-def key_of(*parts: int) -> Key:
-    """The key of a thing by the numbers that name it, the same at all agents."""
-    return crc32(struct.pack(f"<{len(parts)}q", *parts)).to_bytes(4)[1:]
+def key_of(kind: int, *parts: int) -> Key:
+    """The key of a thing by its kind, up to 3, and the numbers that name it, the same at all agents."""
+    number = crc32(struct.pack(f"<{len(parts)}q", *parts)) & 0x3FFFFF
+    return (kind << 22 | number).to_bytes(3)
+
+
+def kind_of(key: Key) -> int:
+    """What kind of thing it names."""
+    return key[0] >> 6
+
+
+def level(number: float) -> int:
+    """The level of a number, rounded down: what is told is never more than there is."""
+    return min(int(math.log(number / UNIT) * LEVELS) + 1, 255) if number > UNIT else 0
+
+
+NUMBERS = (0.0, *(UNIT * math.exp(each / LEVELS) for each in range(255)))  # by level
 
 
 def encode(turn: int, entries: Iterable[tuple[Key, Numbers]], room: int) -> str:
     """As many of the entries as go into so many characters."""
-    full, plain, most = bytearray(), bytearray(), room // 4 * 3 - HEAD.size
+    full, plain, most = bytearray(), bytearray(), room // 5 * 4 - HEAD.size
     for key, (tried, failed, evidence) in entries:
-        into = full if evidence else plain
         if len(full) + len(plain) + (FULL if evidence else PLAIN).size > most or len(full) >= 255 * FULL.size:
             break
-        tried, failed, evidence = min(tried, LARGEST), min(failed, LARGEST), max(evidence, -LARGEST)
-        into += FULL.pack(key, tried, failed, evidence) if evidence else PLAIN.pack(key, tried, failed)
-    return b64encode(HEAD.pack(turn & 0xFFFF, len(full) // FULL.size) + full + plain).decode()
+        if evidence:
+            full += FULL.pack(key, level(tried), level(failed), level(-evidence))
+        else:
+            plain += PLAIN.pack(key, level(tried), level(failed))
+    return b85encode(HEAD.pack(turn & 0xFFFF, len(full) // FULL.size) + full + plain).decode()
 
 
 def decode(text: str) -> tuple[int, dict[Key, Numbers]] | None:
     """The turn and the entries, or None where the text is none of ours."""
     try:
-        data = b64decode(text, validate=True)
+        data = b85decode(text)
         turn, count = HEAD.unpack_from(data)
         border = HEAD.size + count * FULL.size
-        entries = {key: (a, b, c) for key, a, b, c in FULL.iter_unpack(data[HEAD.size:border])}
-        entries |= {key: (a, b, 0.0) for key, a, b in PLAIN.iter_unpack(data[border:])}
+        if len(data) < border:
+            return None
+        entries = {key: (NUMBERS[a], NUMBERS[b], -NUMBERS[c])
+                   for key, a, b, c in FULL.iter_unpack(data[HEAD.size:border])}
+        entries |= {key: (NUMBERS[a], NUMBERS[b], 0.0) for key, a, b in PLAIN.iter_unpack(data[border:])}
     except (ValueError, struct.error):
         return None
-    # Danger: one number that is none would spread to all agents and never leave them.
-    sane = all(0 <= a <= LARGEST and 0 <= b <= LARGEST and -LARGEST <= c <= 0 for a, b, c in entries.values())
-    return (turn, entries) if sane and len(data) >= border else None
+    return turn, entries
 
 
 @dataclass(slots=True)
@@ -94,13 +111,18 @@
         entry = self._entries.get(key)
         return entry.told if entry else (0.0, 0.0, 0.0)
 
-    def offer(self, turn: int, room: int) -> str:
-        """What is told to this turn's partner, in so many characters at most."""
+    def offer(self, turn: int, room: int, part: Sequence[float] = (0.0,) * 4, lasting: Set[Key] = frozenset(),
+              ) -> str:
+        """What is told to this turn's partner, in so many characters.
+
+        Lasting keys are told from any failure on; others, by kind, if more than a part of their tries failed.
+        """
         # Danger: with a full list of what fails a little everywhere, what fails most must not be left out;
         # and evidence that is not told would be held against a score that is.
         worth = WORTH / self._agents
         heavy = sorted(((key, each.mix) for key, each in self._entries.items()
-                        if each.mix[2] or each.mix[1] > max(worth, PART * each.mix[0])),
+                        if (key in lasting and each.mix[1] > LEAST)
+                        or each.mix[1] > max(worth, part[kind_of(key)] * each.mix[0])),
                        key=lambda item: (item[1][2], -item[1][1]))
         halves = [(key, (mix[0] / 2, mix[1] / 2, mix[2] / 2)) for key, mix in heavy]
         text = encode(turn, halves, room)
@@ -130,14 +152,14 @@
                     mix[:] = [own + come for own, come in zip(mix, half)]
         self._heard, self._offered_in = None, -1
 
-    def step(self, kept: float, lasting: set[Key]) -> None:
-        """A round ends: read what was mixed, let in what is new; all but lasting keys keep only a part."""
+    def step(self, kept: Sequence[float], lasting: Set[Key] = frozenset()) -> None:
+        """A round ends: read what was mixed, let in what is new; of all but lasting keys a part is kept."""
         # Danger: one that is cut off has its own numbers alone; as the mean of all they would be too many.
         known = min(2.0 ** max(self._turns - self._missed, 0), self._agents) if self._missed else self._agents
         self._missed = 0
         for key, each in list(self._entries.items()):
             each.told = (each.mix[0] * known, each.mix[1] * known, each.mix[2] * known)
-            part = 1.0 if key in lasting else kept
+            part = 1.0 if key in lasting else kept[kind_of(key)]
             each.mix = [old * part + new for old, new in zip(each.mix, each.fresh)]
             each.fresh = [0.0] * 3
             # Danger: where servers come and go all day, what is kept of each would add up.
--- a/frostfall/knowledge/servers.py
+++ b/frostfall/knowledge/servers.py
@@ -1,15 +1,23 @@
-"""What all agents saw of each server: its recent share of failures, and which ones fail alone on trial."""
+"""What all agents saw of each server: its errors, whether it is gone, and which ones fail alone on trial."""
 
 from __future__ import annotations
 
 import math
+from collections.abc import Callable, Sequence
+from zlib import crc32
 
 from frostfall.knowledge.pushsum import Key, PushSum, key_of
 
 MEMORY = 6.0  # seconds: in this time what is known of a server's recent failures fades to 1/e
 DOUBT = 4.0  # tries without a failure that are added to each server's: one failure alone tells little
 AGAIN = 1.7  # failures from which a machine has failed more than once, as pooled counts are not whole
-RECENT, ON_TRIAL = 0, 1  # kinds of keys
+GONE_MEMORY = 1.0  # seconds: the same for whether anything comes back from it at all
+GONE, GONE_LEAST = 0.8, 2.0  # share of attempts on which nothing came, and how many of them, to call it gone
+TRIED_ANYWAY = 0.1  # part of the agents that go on trying one that is gone, so that its return is noticed
+GONE_MOST = 0.5  # of the fleet: with more gone, the fault lies with the agents or the network between
+RECENT, ON_TRIAL, HEARD = 0, 1, 2  # kinds of keys
+TOLD = (0.2, math.inf, 0.2)  # by kind: what part has failed where it is worth telling; not of old stages
+OLD_STAGE = 0.1  # of what is known of a stage that has passed, this part is left after each round
 
 Start = tuple[int, int]  # a server and when it started: a new start is another server
 
@@ -20,28 +28,50 @@
     def __init__(self, agents: int, turns: int, tick: int) -> None:
         """Nothing is known yet."""
         self.sums = PushSum(agents, turns)
-        self._kept = math.exp(-turns * tick / 1e6 / MEMORY)
+        past = -turns * tick / 1e6
+        self._kept = (math.exp(past / MEMORY), OLD_STAGE, math.exp(past / GONE_MEMORY))
         self._trial: dict[Key, Start] = {}
         self._stage: tuple[int, int] = (-1, -1)
-        self._keys: dict[Start, Key] = {}
-
-    def _recent(self, server: Start) -> Key:
-        key = self._keys.get(server)
-        if key is None:
-            key = self._keys[server] = key_of(RECENT, *server)
-        return key
-
-    def ended(self, server: Start, failed: bool) -> None:
-        """An attempt of this agent's own ended there."""
-        self.sums.note(self._recent(server), 1, failed)
+        self._keys: dict[Start, tuple[Key, Key]] = {}
+
+    def _named(self, server: Start) -> tuple[Key, Key]:
+        keys = self._keys.get(server)
+        if keys is None:
+            keys = self._keys[server] = key_of(RECENT, *server), key_of(HEARD, *server)
+        return keys
+
+    def ended(self, server: Start, zone: str, failed: bool, silent: bool) -> None:
+        """An attempt of this agent's own ended there; `silent`: nothing has come from it since it began."""
+        recent, heard = self._named(server)
+        if not silent:
+            self.sums.note(recent, 1, failed)
+        self.sums.note(heard, 1, silent)
+        self.sums.note(self._zone(zone), 1, silent)
+
+    def _zone(self, zone: str) -> Key:
+        return key_of(HEARD, crc32(zone.encode()))
+
+    def _gone(self, key: Key) -> bool:
+        tried, silent, _ = self.sums.pooled(key)
+        return silent >= GONE_LEAST and silent > GONE * tried
+
+    def avoided(self, fleet: Sequence[tuple[Start, str]], draw: Callable[[], float]) -> set[Start]:
+        """Those of a fleet, each with its zone, that this agent leaves alone for a round."""
+        # Danger: each agent that finds out by itself loses a request to each server of a zone that is lost.
+        # But one that all leave alone would never be seen to return; and who is cut off sees all gone.
+        # A zone's servers together tell sooner than each of them that the zone is lost.
+        lost = {zone for zone in {zone for _, zone in fleet} if self._gone(self._zone(zone))}
+        gone = [server for server, zone in fleet if zone in lost or self._gone(self._named(server)[1])]
+        return set() if len(gone) > GONE_MOST * len(fleet) else {
+            server for server in gone if draw() >= TRIED_ANYWAY}
 
     def errors(self, server: Start) -> float:
         """The recent share of failures by what all agents saw, with some doubt; 0 where nothing is known."""
-        tried, failed, _ = self.sums.pooled(self._recent(server))
+        tried, failed, _ = self.sums.pooled(self._named(server)[0])
         return min(failed / (max(tried, failed) + DOUBT), 1.0) if failed > 0 else 0.0
 
-    def on_trial(self, stage: tuple[int, int]) -> None:
-        """A build's stage is on trial from now on; what was kept of the one before is no longer needed."""
+    def on_trial(self, stage: tuple[int, int] = (-1, -1)) -> None:
+        """A build's stage is on trial from now on, or none; what was kept of the one before is not needed."""
         if stage != self._stage:
             self.sums.drop(self._trial)
             self._trial, self._stage = {}, stage
@@ -54,33 +84,37 @@
 
     def listed(self, servers: set[Start], trial: list[Start]) -> None:
         """The fleet is these; those on trial are named apart, as others may have told of them already."""
-        self._keys = {server: key for server, key in self._keys.items() if server in servers}
+        for server in [server for server in self._keys if server not in servers]:
+            self.sums.drop(self._keys.pop(server))
         for server in trial:
             self._trial.setdefault(key_of(ON_TRIAL, *self._stage, *server), server)
 
+    def offer(self, turn: int, room: int) -> str:
+        """What is told to this turn's partner, in so many characters at most."""
+        return self.sums.offer(turn, room, TOLD, self._trial.keys())
+
     def step(self) -> None:
         """A round is over."""
         self.sums.step(self._kept, set(self._trial))
 
-    def apart(self, tried: float, failed: float, least: float, part: float) -> float:
+    def apart(self, tried: float, failed: float, least: float) -> float:
         """What machines that fail alone have added to the score, at or below zero, of all agents together.
 
         `tried` and `failed` count all outcomes on trial. Up to a quarter of the machines, the worst, fail
-        alone if each has failed more than once and the others together, in at least so many outcomes, fail in
-        under a part of their share, two failures aside.
+        alone if each has failed far more often than at the rate of all the others, who have at least so many
+        outcomes: by more than three deviations and one failure.
         """
         # Danger: of a good build's machines some fail by themselves, in a large fleet at any time; each agent
-        # sees too few of their answers to tell, and all of them together would send the build back. Set apart
-        # one by one, each would stand against others that hold the rest of the bad ones.
-        few = max(len(self._trial) // 4, 1)
-        machines = sorted((self.sums.pooled(key) for key in self._trial), key=lambda each: -each[1])[:few]
-        bad_tried = bad_failed = evidence = found = 0.0
-        for its_tries, its_failures, its_evidence in machines:
-            if its_failures < AGAIN:
-                break
-            bad_tried, bad_failed = bad_tried + its_tries, bad_failed + its_failures
-            evidence += its_evidence
-            rest, poor = tried - bad_tried, max(failed - bad_failed, 0.0)
-            if rest >= least and poor * bad_tried < part * (bad_failed - 2) * rest:
-                found = evidence
-        return found
+        # sees too few of their answers to tell, and all of them together would send the build back. But where
+        # all machines fail now and then, the worst of many look bad by chance, and would hide a bad build.
+        worst = sorted((self.sums.pooled(key) for key in self._trial), key=lambda each: -each[1])
+        worst = [each for each in worst[:max(len(worst) // 4, 1)] if each[1] >= AGAIN]
+        while worst:
+            rest = tried - sum(each[0] for each in worst)
+            rate = (max(failed - sum(each[1] for each in worst), 0.0) + 0.5) / max(rest, 1.0)
+            usual = [max(its_tries, its_failures) * rate for its_tries, its_failures, _ in worst]
+            if rest >= least and all(each[1] > expected + 3 * math.sqrt(expected) + 1
+                                     for each, expected in zip(worst, usual)):
+                return sum(evidence for _, _, evidence in worst)
+            worst.pop()
+        return 0.0
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -63,3 +63,71 @@
     assert play.ledger.twice == 0
     assert sum(play.ledger.answers.values()) == play._count
     assert play.ledger.answers["served"] > 0.97 * play._count
+
+
+@pytest.mark.parametrize("agents", [3, 80])
+def test_a_fleet_that_is_all_cold_is_used_up_to_its_budget_and_not_beyond(agents: int) -> None:
+    play, rate = fleet(agents, 60, seed=4), 300.0
+    play.traffic(rate, play.now + 10 * SECOND)
+    play.run(6 * SECOND)
+    before, began = play.ledger.answers["refused"], play.now
+    for each in play.servers.values():
+        each.info = replace(each.info, started_at=began)
+        each.attempts.clear()
+    play.tell_all(api.ServersListed(api.ListKind.COMPLETE, play.listing()))
+    play.run(3 * SECOND)
+    # Danger: with the twelve servers it keeps to, an agent has a fifth of its part of the budget.
+    assert play.ledger.answers["refused"] - before < 0.4 * 3 * rate
+    rules = play.settings.rules
+    for each in play.servers.values():
+        times = [at for at, _ in each.attempts]
+        for at in times:
+            share = rules.cold_share + (1 - rules.cold_share) * min((at - began) / rules.warm_up, 1)
+            within = sum(at - rules.fall_window < other <= at for other in times)
+            assert within <= rules.fall_multiple * share * rate / 60 * rules.fall_window / SECOND + 1
+
+
+def test_waiting_for_servers_that_are_gone_refuses_nobody() -> None:
+    play = fleet(40, 60, seed=5)
+    for name in range(20):
+        play.servers[name].info = replace(play.servers[name].info, zone="b")
+    play.tell_all(api.ServersListed(api.ListKind.COMPLETE, play.listing()))
+    play.traffic(300, play.now + 8 * SECOND)
+    play.run(4 * SECOND)
+    for name in range(20):
+        play.servers[name].troubles = [Trouble(silent=True)]
+    play.run(4 * SECOND)
+    assert play.ledger.answers["refused"] < 0.03 * 300 * 3
+    # Danger: each agent would find each server of a lost zone by itself, a time-out at a time.
+    lost = [sum(at > play.now - SECOND for at, _ in play.servers[name].attempts) for name in range(20)]
+    assert sum(lost) < 0.4 * 300 / 3
+
+
+@pytest.mark.parametrize("agents", [40, 200])
+def test_a_build_that_sours_everywhere_is_sent_back_soon(agents: int) -> None:
+    play = fleet(agents, 60, trial=60)
+    for each in play.servers.values():
+        each.troubles = [Trouble(begins=START + 4 * SECOND, errors=0.12)]
+    play.traffic(400, play.now + 9 * SECOND)
+    play.run(SECOND)
+    play.release(api.RolloutNews(2, 2, api.Phase.RELEASED, 1.0, 0, api.VoteReply.NONE))
+    play.run(8 * SECOND)
+    # Danger: the worst of many machines look as if they failed alone, and would be excused one by one.
+    backs = [at for at, _, vote in play.ledger.votes if vote.verdict is api.Verdict.BACK]
+    assert backs and min(backs) < START + 7 * SECOND
+
+
+def test_what_is_known_of_a_stage_that_has_passed_is_told_no_more() -> None:
+    play = fleet(40, 60, trial=30, bad=0.2)
+    play.traffic(400, play.now + 9 * SECOND)
+    play.run(SECOND)
+    play.release(api.RolloutNews(2, 2, api.Phase.TRIAL, 1.0, 0, api.VoteReply.NONE))
+    play.run(3 * SECOND)
+    play.release(api.RolloutNews(2, 2, api.Phase.WITHDRAWN, 0.0, 0, api.VoteReply.NONE))
+    for each in play.servers.values():
+        each.troubles, each.info = [], replace(each.info, build=1, started_at=1)
+    play.tell_all(api.ServersListed(api.ListKind.COMPLETE, play.listing()))
+    play.run(2 * SECOND)
+    sizes = [len(agent.shared.offer(agent.turn, 200)) for agent in play.agents]
+    # Danger: evidence that nobody needs any more went round in full messages for the rest of the day.
+    assert max(sizes) < 50
