--- /dev/null
+++ b/frostfall/bench/many_agents.py
@@ -0,0 +1,163 @@
+"""What fleets of 3 to 200 agents do together, in virtual time: with what they tell each other, and without.
+
+The two run in turn on the same seeds. Without, agents still exchange scores and votes, but the part of each
+message that tells of servers is cut off on its way, which is how agents were before they pooled it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, replace
+from pathlib import Path
+from statistics import median
+
+import click
+
+from frostfall import interface as api
+from frostfall.bench import report
+from frostfall.model.fleet import SECOND, START, Fleet
+from frostfall.model.servers import Server, Trouble
+
+SIZES = (3, 40, 200)
+SERVERS, EACH, ZONES = 60, 10.0, 3  # servers, requests a second to each, zones
+TROUBLE, LENGTH = START + 4 * SECOND, 10 * SECOND
+READ = api.RequestClass("read", api.Effect.SAFE, api.KeyGroup.ALL, 0, SECOND, 3 * SECOND, 3.0)
+ORDER = api.RequestClass("order", api.Effect.UNSAFE, api.KeyGroup.ALL, 0, SECOND // 2, 2 * SECOND, 9.0)
+ROLLOUT = api.Rollout(
+    control=api.Control.VOTES, stage_caps=(0.1, 0.35, 1.0), stage_shares=(0.08, 0.25, 1.0), window=3 * SECOND,
+    free_attempts=2, per_class=False, closed_stages=0, one_way=False, keeps_old_servers=False,
+    least_stage_time=SECOND, stage_time=0, on_votes=1, back_votes=1, hold_votes=0, vote_life=10 * SECOND,
+    vote_timeout=2 * SECOND, votes_per_second=16.0, news_period=4 * SECOND, tally_period=0, tally_sample=0.0,
+    flag_share=0.0, delay_price=0.5, harm_price=2.0, warm_keys=False)
+SETTINGS = api.Settings(
+    agent=0, agents=1, zone="a", classes=(READ, ORDER), tenants=(), rollout=ROLLOUT,
+    limits=api.Limits(4, False, True, False, True, False, SECOND, SECOND // 4, 15 * SECOND),
+    rules=api.Rules(5_000, SECOND // 2, 10 * SECOND, 0.3, 3 * SECOND, 4.0, 2 * SECOND),
+    prices=api.Prices(0.02, 0.05, 0.08, 0.03, 0.08), must_subscribe=True, load_by_probe=False,
+    over_share_worth=0.1)
+
+
+@dataclass(frozen=True, slots=True)
+class Case:
+    """A trouble that begins at a time, what it does to a fleet, and which servers it hits."""
+
+    name: str
+    begin: Callable[[Fleet], None]
+    hit: Callable[[int], bool]
+    news: api.RolloutNews | None = None
+
+
+def _is_bad(name: int) -> bool:
+    """One server in eight, of both builds alike."""
+    return name // 2 % 8 == 3
+
+
+def _bad(play: Fleet) -> None:
+    for name, server in play.servers.items():
+        if _is_bad(name):
+            server.troubles = [Trouble(errors=0.5)]
+
+
+def _lost(play: Fleet) -> None:
+    for server in play.servers.values():
+        if server.info.zone == "a":
+            server.troubles = [Trouble(ends=TROUBLE + 5 * SECOND, silent=True)]
+
+
+def _cold(play: Fleet) -> None:
+    for server in play.servers.values():
+        server.info = replace(server.info, started_at=play.now)
+    play.tell_all(api.ServersListed(api.ListKind.COMPLETE, play.listing()))
+
+
+def _restart(play: Fleet) -> None:
+    play.restart(range(0, len(play.agents) * 7 // 10))
+
+
+TRIAL = api.RolloutNews(2, 2, api.Phase.TRIAL, 1.0, 0, api.VoteReply.NONE)
+CASES = (
+    Case("one server in eight errs, on a good build's trial", _bad, _is_bad, TRIAL),
+    Case("a zone of three is lost for 5 s", _lost, lambda name: name % ZONES == 0),
+    Case("all servers are cold", _cold, lambda name: False),
+    Case("seven agents in ten are killed", _restart, lambda name: False),
+)
+
+
+class _Silent(Fleet):
+    """A fleet whose agents hear each other's scores but nothing of servers."""
+
+    def tell(self, number: int, event: api.Event) -> None:
+        """Hand one event over, without what it says of servers."""
+        if isinstance(event, api.PeerMessage):
+            event = replace(event, text=event.text.partition(" ")[0])
+        super().tell(number, event)
+
+
+def play(kind: type[Fleet], agents: int, case: Case, seed: int) -> dict[str, float]:
+    """One play; figures are of the seconds since the trouble began."""
+    made = [Server(api.Server(name, 2 if case.news and name % 2 else 1, "abc"[name % ZONES], 0, 1.0, 0,
+                              api.Availability.UP)) for name in range(SERVERS)]
+    fleet = kind(replace(SETTINGS, agents=agents), made, seed)
+    fleet.traffic(SERVERS * EACH, START + LENGTH, lambda agent: 1.0 + 3.0 * (agent % 10 == 0))
+    if case.news:
+        fleet.at(START + 2 * SECOND, lambda: fleet.release(case.news or TRIAL))
+    fleet.run(TROUBLE - START)
+    before, calls = fleet.ledger.answers.copy(), len(fleet.ledger.list_calls)
+    case.begin(fleet)
+    told = fleet.ledger.messages
+    fleet.run(START + LENGTH - TROUBLE)
+    since = {how: number - before[how] for how, number in fleet.ledger.answers.items()}
+    total = max(sum(since.values()), 1)
+    hit = [server for name, server in fleet.servers.items() if case.hit(name)]
+    late = [sum(at > TROUBLE + 2 * SECOND for at, _ in server.attempts) for server in hit]
+    usual = EACH * (LENGTH / SECOND - 6)
+    peak = max((sum(at <= other < at + SECOND for other, _ in fleet.ledger.list_calls[calls:])
+                for at, _ in fleet.ledger.list_calls[calls:]), default=0)
+    return {
+        "served": since.get("served", 0) / total, "refused": since.get("refused", 0) / total,
+        "failed": since.get("failed", 0) / total, "twice": float(fleet.ledger.twice),
+        "bad servers' part": sum(late) / (len(hit) * usual) if hit else 0.0,
+        "votes back": float(sum(vote.verdict is api.Verdict.BACK for _, _, vote in fleet.ledger.votes)),
+        "list calls, peak a second": float(peak),
+        "messages an agent and second": (fleet.ledger.messages - told) / agents / (LENGTH / SECOND - 4),
+    }
+
+
+def run(rounds: int, out: Path, sizes: Sequence[int] = SIZES) -> None:
+    """All cases at all sizes, with and without in turn; the middle of the rounds."""
+    rows: list[report.Row] = []
+    for case in CASES:
+        for agents in sizes:
+            figures: dict[str, list[dict[str, float]]] = {"told": [], "not told": []}
+            for seed in range(1, rounds + 1):
+                for name, kind in (("told", Fleet), ("not told", _Silent)):
+                    figures[name].append(play(kind, agents, case, seed))
+            for name, plays in figures.items():
+                rows.append({"case": case.name, "agents": agents, "of servers": name, **{
+                    key: median(each[key] for each in plays) for key in plays[0]}})
+                click.echo(str(rows[-1]))
+    names = list(rows[0])
+    text = "Modelled servers, virtual time; the middle of the rounds, since the trouble began.\n\n"
+    report.write(out, "many-agents", rows, text + report.table(rows, names))
+    _plot(rows, out / "many-agents.png")
+
+
+def _plot(rows: Sequence[report.Row], path: Path) -> None:
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, places = pyplot.subplots(1, len(CASES), figsize=(4 * len(CASES), 3.5), sharey=True)
+    for place, case in zip(places, CASES):
+        for name in ("told", "not told"):
+            mine = [row for row in rows if row["case"] == case.name and row["of servers"] == name]
+            place.plot([row["agents"] for row in mine], [row["served"] for row in mine], "o-", label=name)
+        place.set_title(case.name, fontsize=8)
+        place.set_xscale("log")
+        place.set_xlabel("agents")
+    places[0].set_ylabel("part served since the trouble began")
+    places[0].legend()
+    figure.tight_layout()
+    figure.savefig(path, dpi=120)
+    pyplot.close(figure)
--- a/frostfall/cli.py
+++ b/frostfall/cli.py
@@ -93,3 +93,18 @@
     from frostfall.bench import structures as measure
 
     measure.run(rounds, out)
+
+
+@bench.command("many-agents")
+@click.option("--rounds", default=3, show_default=True, help="How many seeds each case is played with.")
+@click.option("--agents", "sizes", multiple=True, type=click.IntRange(1), default=(3, 40, 200),
+              show_default=True, help="Sizes of fleets; may be given more than once.")
+@click.option("--out", type=click.Path(file_okay=False, path_type=Path), default=Path("bench-out"),
+              show_default=True, help="Where the JSON, the table and the plot go.")
+def many_agents(rounds: int, sizes: tuple[int, ...], out: Path) -> None:
+    """Whole fleets in virtual time: bad servers, a lost zone, a cold fleet, killed agents."""
+    try:
+        import frostfall.bench.many_agents as measure
+    except ImportError as error:
+        raise click.ClickException(f"{error}; install requirements-bench.txt") from None
+    measure.run(rounds, out, sizes)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -131,3 +131,46 @@
     sizes = [len(agent.shared.offer(agent.turn, 200)) for agent in play.agents]
     # Danger: evidence that nobody needs any more went round in full messages for the rest of the day.
     assert max(sizes) < 50
+
+
+def test_a_play_is_the_same_every_time_and_messages_stay_short_while_all_is_well() -> None:
+    def once() -> tuple[dict[str, int], int, list[int]]:
+        play = fleet(40, 20, seed=7)
+        play.traffic(200, play.now + 3 * SECOND)
+        play.run(3 * SECOND)
+        sizes = [len(agent.shared.offer(agent.turn, 200)) for agent in play.agents]
+        return dict(play.ledger.answers), play.ledger.messages, sizes
+
+    first = once()
+    assert first == once()
+    assert max(first[2]) < 10
+
+
+@pytest.mark.parametrize("agents", [3, 40, 200])
+def test_a_mass_restart_spreads_its_calls_for_the_list(agents: int) -> None:
+    told = replace(SETTINGS, agents=agents, must_subscribe=True, limits=FEW_PEERS)
+    play = Fleet(told, [Server(server(n)) for n in range(20)], seed=2)
+    play.run(3 * SECOND)
+    play.ledger.list_calls.clear()
+    play.restart(range(agents * 7 // 10))
+    play.run(12 * SECOND)
+    callers = {agent for _, agent in play.ledger.list_calls}
+    assert callers >= set(range(agents * 7 // 10))
+    # Danger: discovery works through calls in turn, and turns away who comes with all the others.
+    assert play.ledger.peak_calls() <= max(agents * 7 // 10 * 0.75, 2)
+
+
+@pytest.mark.parametrize("agents", [3, 40, 200])
+def test_exposure_stays_under_the_cap_in_every_window(agents: int) -> None:
+    play = fleet(agents, 30, trial=3)
+    play.traffic(300, play.now + 7 * SECOND)
+    play.run(2 * SECOND)
+    taken = play._count
+    play.release(api.RolloutNews(2, 0, api.Phase.TRIAL, 0.1, 0, api.VoteReply.NONE))
+    play.run(4 * SECOND)
+    sent = [at for name in (27, 28, 29) for at, _ in play.servers[name].attempts if at > START + 2 * SECOND]
+    assert sent
+    window, rate = ROLLOUT.window, (play._count - taken) / 4
+    most = max(sum(at - window < other <= at for other in sent) for at in sent)
+    # Each agent keeps to its own part: a few attempts that go uncounted, and the cap of what it has taken.
+    assert most <= ROLLOUT.free_attempts * agents + 0.1 * rate * window / SECOND * 1.5
