--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -16,6 +16,7 @@
 from frostfall.state import Attempt, Ballot, Exchange, Known, Request, Test
 
 TICK, HOLD = 100_000, 50_000  # in us: one exchange, over a message's way; how often a held request is tried
+TRIAL_TICK, LONG = 50_000, 6  # one exchange on trial where a round has so many: stages wait for rounds
 ALPHA, BETA, MARGIN = 0.05, 0.05, 0.05  # the design's: chances of a wrong 'on', 'back' (shared out); p1 - p0
 LATE_AIMS, LATE_TIMES, LATE_MARGIN = 1.5, 2.5, 0.2  # late is over so many aims, or usual times; its p1 - p0
 LATE_MEMORY, LATE_LEAST, LATE_PART, LATE_CALM = 5e5, 15.0, 0.33, 0.25  # of the moment, the trial's too; calm
@@ -66,13 +67,13 @@
         self.taken = defaultdict[str, deque[int]](deque)
         self.exposed = defaultdict[tuple[int, str], deque[int]](deque)
         self.restarts, self.answered_by = list[int](), dict[str, int]()  # the latter of one-way keys
-        self.turns, self.turn = round_length(self.agents), -1
+        self.turns, self.turn, self.tick = round_length(self.agents), -1, TICK
         self.r = mixing_rate(self.agents, self.turns)
         self.rows = dict[tuple[int, str], list[float]]()  # by build, class: own outcomes, failed, ever
         self.flags, self.calm, self.gone = dict[int, int](), 0.0, -1  # disputes; late before; build gone back
         self.test: Test | None = None
         self.ballot: Ballot | None = None
-        self.shared = Servers(self.agents, self.turns, TICK)  # what all agents saw of each server
+        self.shared = Servers(self.agents, self.turns)  # what all agents saw of each server
         self.apart = Apart()  # servers that turned slow in the middle of an answer
         self.handlers: dict[type, Any] = {
             api.RequestArrived: self._arrive, api.AttemptEnded: self._ended, api.TimerFired: self._timer,
@@ -464,6 +465,9 @@
                 self.restarts.append(self.now + self.rules.drain_grace)
             self.news = news
             key = (news.build, news.stage if news.phase is Phase.TRIAL else -1)
+            # Danger: in a large fleet a round takes a second, and each stage would wait for two of them.
+            fast = news.phase is Phase.TRIAL and self.turns >= LONG
+            self.tick = TRIAL_TICK if fast else TICK
             if news.phase in (Phase.GOING_BACK, Phase.WITHDRAWN):
                 self.test, self.gone = None, news.build
                 self.shared.on_trial()
@@ -572,11 +576,11 @@
             test.heard = told.numbers
 
     def _tick(self) -> None:
-        self.actions.append(api.SetTimer(TICK - self.now % TICK, "tick"))
+        self.actions.append(api.SetTimer(self.tick - self.now % self.tick, "tick"))
         if self.set.must_subscribe and self.now >= self.ask_at:
             self.ask_at = self.now + max(self.rules.ask_within, self.agents * APART)
             self.actions.append(api.Subscribe())
-        test, me, last, self.turn = self.test, self.set.agent, self.turn, self.now // TICK
+        test, me, last, self.turn = self.test, self.set.agent, self.turn, self.now // self.tick
         if self.rollout is None:
             return
         itself = partner(me, self.agents, last, self.turns) == me
@@ -588,12 +592,12 @@
             met = test.heard is not None or itself
             test.heard, test.meets, test.turns = None, test.meets + met, test.turns + 1
         if self.turn % self.turns == 0:
-            self.shared.step()
+            self.shared.step(self.turns * self.tick)
             avoided = self.shared.avoided([(s.start, s.info.zone) for s in self.fleet], self.random.random)
             for server in self.fleet:
                 server.errors_seen = self.shared.errors(server.start)
                 if server.start in avoided:
-                    server.shunned_until = max(server.shunned_until, self.now + self.turns * TICK)
+                    server.shunned_until = max(server.shunned_until, self.now + self.turns * self.tick)
             if test:
                 self._step(test, self.rollout)
         if (peer := partner(me, self.agents, self.turn, self.turns)) != me and self.limits.peers:
@@ -614,15 +618,17 @@
         alone = self.shared.apart(test.count * pool, test.mix[12] * pool, LEAST_POOLED) / pool
         test.score[0] -= alone
         # Danger: held against a p0 of a moment ago, the onset of a shared slowdown speaks against the trial.
-        fade = math.exp(-self.turns * TICK / LATE_MEMORY)
+        fade = math.exp(-self.turns * self.tick / LATE_MEMORY)
         test.recent = [old * fade + new for old, new in zip(test.recent, test.timed)]
-        bands, p0, margin, most = self._bands(test), self._p0_late(test), LATE_MARGIN, LATE_MOST
+        most = LATE_MOST * self.tick / TICK  # of the way to 'back'
+        bands, p0, margin = self._bands(test), self._p0_late(test), LATE_MARGIN
         if p0 is not None and test.key[1] == 0 and self._short():
             self.calm = p0
         # Danger: a build that slows all servers alike has nothing to be held against once it is everywhere.
         # Then calmer times serve as p0; only lateness that outlasts most others tells.
         if p0 is None and self.calm and test.key[1] < 0:
-            p0, margin, most = min(self.calm, 0.9 - LAST_MARGIN), LAST_MARGIN, self.turns * TICK / LAST_TIME
+            p0, margin = min(self.calm, 0.9 - LAST_MARGIN), LAST_MARGIN
+            most = self.turns * self.tick / LAST_TIME
         if p0 is not None:
             good, bad = (evidence(late, p0, margin) for late in (False, True))
             gain = (test.timed[2] - test.timed[3]) * good + test.timed[3] * bad
--- a/frostfall/knowledge/pushsum.py
+++ b/frostfall/knowledge/pushsum.py
@@ -112,18 +112,21 @@
         return entry.told if entry else (0.0, 0.0, 0.0)
 
     def offer(self, turn: int, room: int, part: Sequence[float] = (0.0,) * 4, lasting: Set[Key] = frozenset(),
-              ) -> str:
+              most: int = MOST) -> str:
         """What is told to this turn's partner, in so many characters.
 
-        Lasting keys are told from any failure on; others, by kind, if more than a part of their tries failed.
+        Of lasting keys so many are told, the heaviest, from any failure on; others, by kind, if more than a
+        part of their tries failed.
         """
         # Danger: with a full list of what fails a little everywhere, what fails most must not be left out;
         # and evidence that is not told would be held against a score that is.
         worth = WORTH / self._agents
-        heavy = sorted(((key, each.mix) for key, each in self._entries.items()
-                        if (key in lasting and each.mix[1] > LEAST)
-                        or each.mix[1] > max(worth, part[kind_of(key)] * each.mix[0])),
-                       key=lambda item: (item[1][2], -item[1][1]))
+        first = sorted(((key, mix) for key in lasting if (entry := self._entries.get(key))
+                        and (mix := entry.mix)[1] > LEAST), key=lambda item: -item[1][1])
+        heavy = sorted(((key, each.mix) for key, each in self._entries.items() if key not in lasting
+                        and each.mix[1] > max(worth, part[kind_of(key)] * each.mix[0])),
+                       key=lambda item: -item[1][1])
+        heavy = first[:most] + heavy
         halves = [(key, (mix[0] / 2, mix[1] / 2, mix[2] / 2)) for key, mix in heavy]
         text = encode(turn, halves, room)
         _, listed = decode(text) or (turn, {})  # as rounded on its way, so that no part of it is lost
--- a/frostfall/knowledge/servers.py
+++ b/frostfall/knowledge/servers.py
@@ -23,13 +23,11 @@
 
 
 class Servers:
-    """One agent's view, pooled with the others'; `turns` exchanges of `tick` microseconds make a round."""
+    """One agent's view, pooled with the others'; so many exchanges make a round."""
 
-    def __init__(self, agents: int, turns: int, tick: int) -> None:
+    def __init__(self, agents: int, turns: int) -> None:
         """Nothing is known yet."""
         self.sums = PushSum(agents, turns)
-        past = -turns * tick / 1e6
-        self._kept = (math.exp(past / MEMORY), OLD_STAGE, math.exp(past / GONE_MEMORY))
         self._trial: dict[Key, Start] = {}
         self._stage: tuple[int, int] = (-1, -1)
         self._keys: dict[Start, tuple[Key, Key]] = {}
@@ -89,13 +87,18 @@
         for server in trial:
             self._trial.setdefault(key_of(ON_TRIAL, *self._stage, *server), server)
 
+    @property
+    def _few(self) -> int:  # so many machines may fail alone; what others have added is not asked for
+        return max(len(self._trial) // 4, 1)
+
     def offer(self, turn: int, room: int) -> str:
         """What is told to this turn's partner, in so many characters at most."""
-        return self.sums.offer(turn, room, TOLD, self._trial.keys())
+        return self.sums.offer(turn, room, TOLD, self._trial.keys(), self._few + 1)
 
-    def step(self) -> None:
-        """A round is over."""
-        self.sums.step(self._kept, set(self._trial))
+    def step(self, took: int) -> None:
+        """A round is over, which took so many microseconds."""
+        past = -took / 1e6
+        self.sums.step((math.exp(past / MEMORY), OLD_STAGE, math.exp(past / GONE_MEMORY)), self._trial.keys())
 
     def apart(self, tried: float, failed: float, least: float) -> float:
         """What machines that fail alone have added to the score, at or below zero, of all agents together.
@@ -108,7 +111,7 @@
         # sees too few of their answers to tell, and all of them together would send the build back. But where
         # all machines fail now and then, the worst of many look bad by chance, and would hide a bad build.
         worst = sorted((self.sums.pooled(key) for key in self._trial), key=lambda each: -each[1])
-        worst = [each for each in worst[:max(len(worst) // 4, 1)] if each[1] >= AGAIN]
+        worst = [each for each in worst[:self._few] if each[1] >= AGAIN]
         while worst:
             rest = tried - sum(each[0] for each in worst)
             rate = (max(failed - sum(each[1] for each in worst), 0.0) + 0.5) / max(rest, 1.0)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -174,3 +174,46 @@
     most = max(sum(at - window < other <= at for other in sent) for at in sent)
     # Each agent keeps to its own part: a few attempts that go uncounted, and the cap of what it has taken.
     assert most <= ROLLOUT.free_attempts * agents + 0.1 * rate * window / SECOND * 1.5
+
+
+def known_to_all(play: Fleet, name: int, most: int, among: range) -> int:
+    """Turns until all of these know that a server errs, of so many."""
+    start = play.servers[name].info
+    for turns in range(most):
+        if all(play.agents[n].shared.errors((start.id, start.started_at)) > 0.2 for n in among):
+            return turns
+        play.run(play.agents[0].tick)
+    return most
+
+
+@pytest.mark.parametrize("agents", [3, 40, 200])
+def test_what_one_knows_reaches_all_in_two_rounds_and_a_part_that_was_cut_off_once_it_is_back(
+        agents: int) -> None:
+    play = fleet(agents, 10, seed=6)
+    play.run(SECOND)
+    half = range(agents // 2)
+    play.cut = lambda sender, receiver: (sender in half) != (receiver in half)
+    play.run(3 * SECOND)
+    for _ in range(2 * agents):
+        play.agents[-1].shared.ended((3, 0), "a", True, False)
+    play.run(4 * SECOND)
+    assert all(not agent.shared.errors((3, 0)) for agent in play.agents[:agents // 2])  # cut off
+    play.cut = lambda sender, receiver: False
+    rounds = play.agents[0].turns
+    for _ in range(2 * agents):
+        play.agents[0].shared.ended((4, 0), "a", True, False)
+    assert known_to_all(play, 4, 99, range(agents)) <= 2 * rounds + 1
+
+
+def test_on_trial_a_large_fleet_exchanges_twice_as_often_and_votes_sooner() -> None:
+    play = fleet(200, 60, trial=20, seed=8)
+    play.traffic(500, play.now + 6 * SECOND)
+    play.run(SECOND)
+    play.release(api.RolloutNews(2, 1, api.Phase.TRIAL, 0.5, 0, api.VoteReply.NONE))
+    play.run(3 * SECOND)
+    ons = [at for at, _, vote in play.ledger.votes if vote.verdict is api.Verdict.ON]
+    # Danger: at a hundred milliseconds a turn, ten outcomes of the first half second were known 2 s later.
+    assert ons and min(ons) <= START + 2 * SECOND + 700_000
+    assert {agent.tick for agent in play.agents} == {50_000}
+    play.release(api.RolloutNews(2, 1, api.Phase.RELEASED, 1.0, 0, api.VoteReply.NONE))
+    assert {agent.tick for agent in play.agents} == {100_000}
