--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -466,7 +466,8 @@
             self.news = news
             key = (news.build, news.stage if news.phase is Phase.TRIAL else -1)
             # Danger: in a large fleet a round takes a second, and each stage would wait for two of them.
-            fast = news.phase is Phase.TRIAL and self.turns >= LONG
+            votes = self.rollout is not None and self.rollout.control is api.Control.VOTES
+            fast = votes and news.phase is Phase.TRIAL and self.turns >= LONG
             self.tick = TRIAL_TICK if fast else TICK
             if news.phase in (Phase.GOING_BACK, Phase.WITHDRAWN):
                 self.test, self.gone = None, news.build
--- a/frostfall/state.py
+++ b/frostfall/state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import struct
-from base64 import b64decode, b64encode
+from base64 import b85decode, b85encode
 from dataclasses import dataclass, field
 
 from frostfall import interface as api
@@ -54,13 +54,13 @@
     def encode(self) -> str:
         """A short text, of the same length always."""
         bounded = (min(max(number, -LARGEST), LARGEST) for number in self.numbers)
-        return b64encode(LAYOUT.pack(self.build, self.stage, self.turn & 0xFFFF, *bounded)).decode()
+        return b85encode(LAYOUT.pack(self.build, self.stage, self.turn & 0xFFFF, *bounded)).decode()
 
     @classmethod
     def decode(cls, text: str) -> Exchange | None:
         """The same again, or None where the text is none of ours."""
         try:
-            build, stage, turn, *numbers = LAYOUT.unpack(b64decode(text, validate=True))
+            build, stage, turn, *numbers = LAYOUT.unpack(b85decode(text))
         except (ValueError, struct.error):
             return None
         sane = all(abs(number) <= LARGEST for number in numbers) and min(numbers[3:]) >= 0
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -217,3 +217,6 @@
     assert {agent.tick for agent in play.agents} == {50_000}
     play.release(api.RolloutNews(2, 1, api.Phase.RELEASED, 1.0, 0, api.VoteReply.NONE))
     assert {agent.tick for agent in play.agents} == {100_000}
+    timed = Fleet(replace(play.settings, rollout=replace(VOTES, control=api.Control.AUTOMATIC)), [], 1)
+    timed.release(api.RolloutNews(2, 1, api.Phase.TRIAL, 0.5, 0, api.VoteReply.NONE))
+    assert {agent.tick for agent in timed.agents} == {100_000}  # time moves the stages there
