--- /dev/null
+++ b/frostfall/storage/__init__.py
@@ -0,0 +1,1 @@
+"""The store: a log of segments on disk, decided without I/O."""
