--- a/frostfall/bench/actors.py
+++ b/frostfall/bench/actors.py
@@ -95,8 +95,14 @@
     """Play the part that the first argument names."""
     told = msgspec.json.decode(sys.stdin.buffer.readline())
     parts: dict[str, Callable[..., Awaitable[None]]] = {"servers": servers, "usual": usual, "slow": slow}
-    part = parts[sys.argv[1]]
-    anyio.run(lambda: part(**told))
+    if part := parts.get(sys.argv[1]):
+        anyio.run(lambda: part(**told))
+        return
+    from frostfall.bench.actors_fleet import PARTS
+    from frostfall.bench.relay import relay
+
+    many: dict[str, Callable[..., Awaitable[None]]] = {"relay": relay, **PARTS}
+    anyio.run(lambda: many[sys.argv[1]](say, lines, **told))
 
 
 if __name__ == "__main__":
--- a/frostfall/config.py
+++ b/frostfall/config.py
@@ -157,7 +157,13 @@
             raise ConfigError(f"{name}: {again[1]}: stands twice in one object") from None
         raise ConfigError(f"{name}: {error}") from None
     try:
-        return msgspec.convert(raw, Options)
+        told = msgspec.convert(raw, Options)
+        if told.group is None:
+            return told
+        from frostfall.recovery.rules import Section  # as above
+
+        group = msgspec.convert({"group": told.group}, Section).group
+        return msgspec.structs.replace(told, group=group)
     except msgspec.ValidationError as error:
         line, key, what = _at(source, str(error))
         raise ConfigError(f"{name}, line {line}: {key}: {what}") from None
@@ -184,11 +190,14 @@
         if isinstance(state, str):
             raise ConfigError(f"release_api.news: {state}")
         told = state
+    name = raw.name or environment.get("BALANCER_NAME", "agent")
+    if options and options.group and name not in [member.name for member in options.group.members]:
+        raise ConfigError(f"group.members: {name!r}, this agent's name, is not among them")
     level = environment.get("FROSTFALL_LOG", "info")
     if level not in log.LEVELS:
         raise ConfigError(f"FROSTFALL_LOG: {level!r} is none of {', '.join(log.LEVELS)}")
     return Config(
-        name=raw.name or environment.get("BALANCER_NAME", "agent"),
+        name=name,
         listen=address(raw.listen or environment.get("BALANCER_LISTEN", ""), "listen"),
         discovery=address(raw.discovery or environment.get("BALANCER_DISCOVERY", ""), "discovery"),
         seed=_seed(raw.seed),
--- /dev/null
+++ b/frostfall/membership/members.py
@@ -0,0 +1,160 @@
+"""Who is here, in which life, and what others have on disk of one's own life. No I/O; turns are attended.
+
+Weighed: SWIM (Das, Gupta, Motivala 2002) for incarnation numbers and suspicion; Lifeguard (Dadgar, Phillips,
+Currey 2018), which has a slow member doubt itself before others; the phi accrual detector (Hayashibara et al.
+2004), whose threshold adapts to how evenly words come. Groups are small and every member speaks with every
+other one, so there is no random choice and no relayed probe; of Lifeguard stays that a member's own pauses
+are taken off, by counting turns that it has itself attended. Suspicion decides nothing about safety.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from frostfall.recovery.rules import Turns
+
+
+class Health(Enum):
+    """What a member is taken for."""
+
+    UNHEARD = "unheard"
+    HERE = "here"
+    SUSPECT = "suspect"
+    AWAY = "away"
+    OLD = "old life"  # it spoke in a life that a newer one has replaced
+
+
+@dataclass(slots=True)
+class Life:
+    """A member's life as it is known here."""
+
+    incarnation: int = 0
+    batch: int = 0  # the last that it had on disk
+    store: str = ""
+
+
+@dataclass(slots=True)
+class Peer:
+    """What is known of one other member."""
+
+    life: Life
+    kept: Life  # what of it is on disk here
+    health: Health = Health.UNHEARD
+    missed: int = 0  # turns since it answered
+    acknowledged: int = 0  # the highest own incarnation that it has on disk
+    clock_ahead: float = 0.0  # seconds of its wall clock before the own one
+    doubt: str = ""  # why its record proves nothing, by its own word
+    stage: str = ""  # the gate that it waits for
+
+
+class Answer(Enum):
+    """How a word that was heard stands to what is known."""
+
+    GOOD = "good"
+    NEW_LIFE = "new life"  # to be written down before it is acknowledged
+    REPLACED = "replaced"  # its sender has been replaced by a newer life
+
+
+class Members:
+    """The group as one member sees it."""
+
+    def __init__(self, own: str, names: tuple[str, ...], rules: Turns) -> None:
+        """Nobody has been heard yet."""
+        self.own, self._rules = own, rules
+        self.peers = {name: Peer(Life(), Life()) for name in names if name != own}
+        self.incarnation = 0  # one's own; 0 before it is on disk
+        self.must_exceed = 0  # a life that one's own has to be newer than
+        self.replaced_by = 0  # a newer life of this very member, if one was heard of
+        self.outdated = ""  # why one's own folder is older than what others saw
+
+    @property
+    def majority(self) -> int:
+        """How many are more than half."""
+        return (len(self.peers) + 1) // 2 + 1
+
+    @property
+    def here(self) -> list[str]:
+        """Members that are heard, not oneself."""
+        return [name for name, peer in self.peers.items() if peer.health in (Health.HERE, Health.SUSPECT)]
+
+    @property
+    def acknowledging(self) -> int:
+        """How many members have one's own life on disk, oneself included."""
+        if not self.incarnation:
+            return 0
+        return 1 + sum(peer.acknowledged >= self.incarnation for peer in self.peers.values())
+
+    def recall(self, name: str, life: Life) -> None:
+        """What was written down of a member in an earlier life."""
+        if peer := self.peers.get(name):
+            peer.kept = life
+            peer.life = Life(life.incarnation, life.batch, life.store)
+
+    def heard(self, name: str, life: Life, stage: str, clock_ahead: float, doubt: str) -> Answer | None:
+        """A member spoke; None for a stranger."""
+        peer = self.peers.get(name)
+        if peer is None:
+            return None
+        if life.incarnation < peer.life.incarnation:
+            if peer.health in (Health.UNHEARD, Health.AWAY):
+                peer.health = Health.OLD
+            return Answer.REPLACED
+        peer.health, peer.missed, peer.stage = Health.HERE, 0, stage
+        peer.clock_ahead, peer.doubt = clock_ahead, doubt
+        fresh = life.incarnation > peer.life.incarnation
+        if fresh:
+            peer.acknowledged = 0
+        if fresh or life.batch > peer.life.batch:
+            peer.life = life
+        return Answer.NEW_LIFE if peer.kept.incarnation < life.incarnation else Answer.GOOD
+
+    def told_of_me(self, name: str, kept: Life, last: Life) -> None:
+        """A member says what it has on disk of this one; `last`: what one's own folder said at the start.
+
+        A life that others know and that this folder does not is one that the folder has lost: it is lost,
+        swapped or an older copy. The same is told to a life that a newer one has replaced.
+        """
+        peer = self.peers.get(name)
+        if peer is None or not kept.incarnation:
+            return
+        if kept.incarnation == self.incarnation:
+            peer.acknowledged = kept.incarnation
+            return
+        if kept.incarnation > self.incarnation and self.incarnation:
+            # Danger: who has been acknowledged and then hears of a newer life is the old one of two
+            # processes. Who has not been is a start whose folder lost some lives, and takes a higher number.
+            if self.acknowledging > 1:
+                self.replaced_by = max(self.replaced_by, kept.incarnation)
+            else:
+                self.must_exceed = max(self.must_exceed, kept.incarnation)
+        if self.outdated or self.replaced_by:
+            return
+        if kept.incarnation > last.incarnation:
+            self.outdated = (f"{name} knew life {kept.incarnation} of this member, "
+                             f"its folder only {last.incarnation or 'none'}")
+        elif kept.incarnation == last.incarnation and kept.store != last.store:
+            self.outdated = f"{name} knew life {kept.incarnation} of this member with another folder"
+        elif kept.incarnation == last.incarnation and kept.batch > last.batch:
+            self.outdated = (f"{name} saw batch {kept.batch} on this member's disk, "
+                             f"the folder ended with {last.batch}")
+
+    def wrote_down(self, name: str, life: Life) -> None:
+        """What was heard of a member is on disk."""
+        peer = self.peers[name]
+        if (life.incarnation, life.batch) > (peer.kept.incarnation, peer.kept.batch):
+            peer.kept = life
+
+    def turn(self) -> list[tuple[str, Health]]:
+        """One more attended turn; whose health has changed by it. Turns slept through are none."""
+        changed = []
+        for name, peer in self.peers.items():
+            peer.missed += 1
+            before = peer.health
+            if before is Health.HERE and peer.missed > self._rules.suspect:
+                peer.health = Health.SUSPECT
+            elif before is Health.SUSPECT and peer.missed > self._rules.gone:
+                peer.health = Health.AWAY
+            if peer.health is not before:
+                changed.append((name, peer.health))
+        return changed
--- a/frostfall/net/agent.py
+++ b/frostfall/net/agent.py
@@ -8,8 +8,10 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING
 
 import anyio
+import msgspec
 from anyio.abc import TaskGroup
 
 from frostfall import interface as api
@@ -26,12 +28,15 @@
 from frostfall.net.streams import Sockets
 from frostfall.net.watch import Watch
 from frostfall.protocol import entries, statement
-from frostfall.protocol.ending import Ending
+from frostfall.protocol.ending import Ending, Final, Progress
 from frostfall.protocol.listing import Listing
 from frostfall.protocol.pg import READY
 from frostfall.protocol.pg_client import Row
 from frostfall.protocol.pg_server import failed, refused
 
+if TYPE_CHECKING:
+    from frostfall.net.recovery import Recovery
+
 SPARE_SOCKETS = 32  # descriptors: a dozen of our own, a crowd to be refused, and some that are closing
 LINGER = 0.7  # seconds after the order to stop in which new connections may still come, by the protocol
 CLIENTS_PART = 2  # of the descriptors: clients hold a third of all for requests, and some say nothing
@@ -69,6 +74,7 @@
         self._requests: dict[str, _Request] = {}
         self._classes = {kind.name for kind in config.settings.classes}
         self._addresses: dict[int, Address] = {}
+        self._told_list = False  # by discovery
         self._group: TaskGroup | None = None
         sockets = Sockets(config.limits.sockets - SPARE_SOCKETS)
         self._guard: Guard[Client] = Guard(config.options.slow_peers)
@@ -85,10 +91,15 @@
                                     unasked=not config.settings.must_subscribe)
         rollout = config.settings.rollout
         self._platform = Platform(config.platform, rollout.vote_timeout,
-                                  self.post) if config.platform and rollout else None
+                                  self._told_news) if config.platform and rollout else None
         self._peers = Peers(config.peer_listen, config.peers, config.peers_all,
                             self._heard) if config.peer_listen and config.settings.limits.peers else None
         self._stopping = anyio.Event()
+        self._recovery: Recovery | None = None
+        if config.options.group:
+            from frostfall.net.recovery import Recovery  # here, as only who has a group pays for it
+
+            self._recovery = Recovery(config, self, self.clock.now)
 
     # ---- events in, actions out --------------------------------------------------------------------
 
@@ -112,7 +123,7 @@
             _log.exception("decision failed", event_type=type(event).__name__)
             name = getattr(event, "request", None)
             if isinstance(name, str) and name in self._requests:
-                self._finish(name, failed())
+                self._finish(name, failed(), Final.FAILED)
             # Danger: a timer let go by a fault would never come again, and with it all exchanges and votes.
             actions = [action for action in self.brain.actions if isinstance(action, api.SetTimer)]
         for action in actions:
@@ -129,9 +140,9 @@
                 if (known := self._requests.get(request)) and attempt < len(known.attempts):
                     known.attempts[attempt].give_up()
             case api.Refuse(request, retry_after):
-                self._finish(request, refused(retry_after // 1000))
+                self._finish(request, refused(retry_after // 1000), Final.REFUSED)
             case api.Fail(request):
-                self._finish(request, failed())
+                self._finish(request, failed(), Final.FAILED)
             case api.SetTimer(delay, token):
                 self._timers.set(delay, token)
             case api.TellPeer(peer, text):
@@ -158,10 +169,12 @@
             return parsed
         if parsed.class_name not in self._classes:
             return "an unknown class"
-        if parsed.request in self._requests:
+        if parsed.request in self._requests and not (self._recovery and self._recovery.knows(parsed)):
             return "an id that is in use"
         deadline = now + parsed.wait_ms * 1000
         client.request, client.side.class_name = parsed.request, parsed.class_name
+        if self._recovery and self._recovery.take(parsed, client, deadline):
+            return None
         self._requests[parsed.request] = _Request(parsed, client, deadline)
         self.post(api.RequestArrived(parsed.request, parsed.class_name, deadline, parsed.key, parsed.hint,
                                      None, parsed.is_retry))
@@ -169,23 +182,35 @@
 
     def left(self, client: Client) -> None:
         """A client's connection has ended; where it waited for an answer, none is owed any more."""
-        if (name := client.request) is not None and (request := self._requests.get(name)):
-            client.request = None
+        name, client.request = client.request, None
+        if name is not None and (request := self._requests.get(name)):
             request.done = True
             self.post(api.ClientLeft(name))
             self._forget(name)
 
-    def _finish(self, name: str, answer: bytes) -> None:
+    def conclude(self, request: str, answer: bytes, end: Final) -> None:
+        """Give a request its final answer, whatever the module has under way for it."""
+        if (known := self._requests.get(request)) and not known.done:
+            self._finish(request, answer, end)
+            self.post(api.ClientLeft(request))
+
+    def _finish(self, name: str, answer: bytes, end: Final) -> None:
         request = self._requests.get(name)
         if request is None or request.done:
             return
         request.done = True
-        self._forget(name)
-        request.client.answer(answer)
+        if over := not request.out:
+            del self._requests[name]
+        if self._recovery:
+            self._recovery.finish(name, answer, end, request.client, over)
+        else:
+            request.client.answer(answer)
 
     def _forget(self, name: str) -> None:
         if (request := self._requests.get(name)) and request.done and not request.out:
             del self._requests[name]
+            if self._recovery:
+                self._recovery.closed(name)
 
     def _send(self, action: api.SendAttempt) -> None:
         request = self._requests.get(action.request)
@@ -214,7 +239,28 @@
         def done(ending: Ending) -> None:
             self._ended(request, action, number, began, ending)
 
-        self._group.start_soon(self._appliances.attempt, attempt, target, write, deadline, done)
+        if self._recovery:
+            self._group.start_soon(self._when_clear, request, attempt, target, write, deadline, done)
+        else:
+            self._group.start_soon(self._appliances.attempt, attempt, target, write, deadline, done)
+
+    async def _when_clear(self, request: _Request, attempt: Attempt, target: Address,
+                          write: Callable[[], bytes], deadline: int, done: Callable[[Ending], None]) -> None:
+        """Carry an attempt through once it may be written; with a record kept, unsafe ones wait for it."""
+        assert self._recovery
+
+        def over() -> bool:
+            return request.done or attempt.given_up
+
+        try:
+            clear = await self._recovery.clear(request.statement.request, over, deadline)
+        except Exception:
+            _log.exception("record failed")
+            clear = False
+        if clear:
+            await self._appliances.attempt(attempt, target, write, deadline, done)
+        else:
+            done(Ending(Progress.NOT_WRITTEN, withheld=True, why="not to be written"))
 
     def _ended(self, request: _Request, action: api.SendAttempt, number: int, began: int,
                ending: Ending) -> None:
@@ -224,7 +270,9 @@
             _log.debug("attempt ended", request=name, server=action.server, outcome=outcome.name,
                        progress=ending.progress.name, why=ending.why)
         if isinstance(ending.answer, Row):
-            self._finish(name, ending.answer.data + READY)
+            self._finish(name, ending.answer.data + READY, Final.SERVED)
+        if self._recovery:
+            self._recovery.attempted(name, ending)
         elapsed = self.clock.now() - began
         try:
             load = entries.load(ending.load)
@@ -237,7 +285,15 @@
 
     # ---- what the other drivers tell ---------------------------------------------------------------
 
+    def _told_news(self, event: api.RolloutNews) -> None:
+        (self._recovery.news if self._recovery else self.post)(event)
+
+    def _remembered(self, listing: Listing) -> None:
+        if not self._told_list and listing.generation >= self._config.known.generation:
+            self._keep(listing, api.ListKind.REMEMBERED)
+
     def _listed(self, listing: Listing) -> None:
+        self._told_list = True
         self._keep(listing, api.ListKind.COMPLETE if listing.reset else api.ListKind.CHANGES)
 
     def _keep(self, listing: Listing, kind: api.ListKind) -> None:
@@ -251,6 +307,8 @@
                     self._addresses[server.id] = address(entry.host_port, entry.instance_id)
                 except ConfigError as error:  # what is sent there then never goes out
                     _log.warning("unusable address", why=str(error))
+        if self._recovery:
+            self._recovery.listed(listing, kind is api.ListKind.REMEMBERED)
         self.post(event)
 
     def _list_failed(self) -> None:
@@ -278,6 +336,9 @@
             stays.append("release_api.address")
             told = replace(told, platform=old.platform)
         self._discovery.move(told.discovery)
+        if told.options.group != old.options.group:
+            stays.append("group")
+            told = replace(told, options=msgspec.structs.replace(told.options, group=old.options.group))
         if told.options != old.options:
             self._guard.renew(told.options.slow_peers)
             self.brain.apart.pauses = self._guard.rules.servers.apart
@@ -294,7 +355,11 @@
             for action in self.brain.start(self.clock.now()):
                 self._carry_out(action)
             self._keep(self._config.known, api.ListKind.REMEMBERED)
-            if self._config.news:
+            if self._recovery:
+                if self._config.news:
+                    self._recovery.at_start(self._config.news)
+                group.start_soon(self._recovery.run, self._remembered)
+            elif self._config.news:
                 self.post(self._config.news)
             for driver in (self._platform, self._peers, self._discovery):
                 if driver:
@@ -315,6 +380,8 @@
             await self._clients.run(listener)
             group.cancel_scope.cancel()
         self._appliances.close()
+        if self._recovery:
+            self._recovery.close()
         _log.info("stopped")
 
     async def _stop(self) -> None:
--- a/frostfall/net/disk.py
+++ b/frostfall/net/disk.py
@@ -110,27 +110,32 @@
         self._out = self._lock = -1
 
 
-def carry_out(folder: Folder, write: Write) -> None:
+def folder(path: Path) -> Folder:
+    """The folder that an agent keeps its record in; what stands in for a disk replaces this."""
+    return Folder(path)
+
+
+def carry_out(target: Folder, write: Write) -> None:
     """One write, step by step; OSError from whichever fails."""
     if write.cut:
-        folder.cut(*write.cut)
+        target.cut(*write.cut)
     if write.begins:
-        folder.begin(write.segment)
-    folder.write(write.data)
-    folder.sync()
+        target.begin(write.segment)
+    target.write(write.data)
+    target.sync()
     if write.begins:
-        folder.sync_names()
-    folder.write(write.lax)
+        target.sync_names()
+    target.write(write.lax)
     for number in write.remove:
-        folder.remove(number)
+        target.remove(number)
 
 
 class Disk:
     """A journal on a folder."""
 
-    def __init__(self, folder: Folder, journal: Journal, steady: Callable[[], float] = monotonic) -> None:
+    def __init__(self, where: Folder, journal: Journal, steady: Callable[[], float] = monotonic) -> None:
         """Nothing is read or written before `open`."""
-        self.folder, self.journal = folder, journal
+        self.folder, self.journal = where, journal
         self._steady, self._started = steady, steady()
         self._waiters: deque[tuple[int, Callable[[bool], None]]] = deque()  # by ticket, which only grows
         self._wake = anyio.Event()
--- /dev/null
+++ b/frostfall/net/recovery.py
@@ -0,0 +1,655 @@
+"""Recovery in a running agent: its store, its group and its gates, between the agent and what they decide."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from typing import Any, Protocol
+
+import anyio
+import msgspec
+from anyio.abc import TaskGroup
+
+from frostfall import interface as api
+from frostfall import log
+from frostfall.config import Address, Config
+from frostfall.limits.attention import Attention
+from frostfall.membership.members import Answer, Life, Members
+from frostfall.net import disk
+from frostfall.net.disk import Disk
+from frostfall.net.group import CALLERS_PART, Line, Listener, Told
+from frostfall.protocol.ending import Ending, Final
+from frostfall.protocol.group import Ask, Beat, Message, Order, Report, Tell
+from frostfall.protocol.listing import Listing
+from frostfall.protocol.pg import READY
+from frostfall.protocol.pg_client import Row
+from frostfall.protocol.pg_server import failed, refused
+from frostfall.protocol.statement import Statement
+from frostfall.recovery import facts as written
+from frostfall.recovery import ledger as operations
+from frostfall.recovery.facts import Doubt, Fact, GoneBack, Hold, KnownList, Seen
+from frostfall.recovery.gates import Facts, Gate, Gates, Stand
+from frostfall.recovery.ledger import Ledger, Way, Word
+from frostfall.recovery.rules import Group
+from frostfall.storage import frames
+from frostfall.storage.frames import Record, State
+from frostfall.storage.journal import Journal
+
+EARLY = 10_000  # microseconds before its deadline at which a try that waits is given up
+POLL = 0.05  # seconds between two questions about an operation that is under way elsewhere
+COME_AGAIN = 500  # milliseconds after which, half as much more at most, who is refused comes again
+CLOCK_APART = 5.0  # seconds between two clocks that are worth a line
+PAUSE_MOST = 3  # turns: a longer gap has been slept through
+
+_log = log.get("recovery")
+
+
+class Waiting(Protocol):
+    """A client's connection, as far as it matters here."""
+
+    request: str | None
+
+    def answer(self, data: bytes) -> None:
+        """Give the final answer."""
+
+
+class Front(Protocol):
+    """What is needed of the agent."""
+
+    def post(self, event: api.Event) -> None:
+        """Hand an event to the decision module."""
+
+    def conclude(self, request: str, answer: bytes, end: Final) -> None:
+        """Give a request its final answer, whatever the module has under way for it."""
+
+    def stop(self) -> None:
+        """Stop in order."""
+
+
+class _Try:
+    """A client's try that waits for the end of an operation."""
+
+    __slots__ = ("client", "request")
+
+    def __init__(self, client: Waiting, request: str) -> None:
+        self.client, self.request = client, request
+
+    def tell(self, answer: bytes) -> None:
+        """Answer, if the client still waits for this."""
+        if self.client.request == self.request:
+            self.client.answer(answer)
+
+
+class Recovery:
+    """One agent's record, group and gates."""
+
+    def __init__(self, config: Config, front: Front, clock: Callable[[], int]) -> None:
+        """Prepare; nothing is read before `run`. `clock` gives microseconds, as deadlines count them."""
+        rules = config.options.group
+        assert isinstance(rules, Group)
+        self.rules, self._front, self._clock, self._name = rules, front, clock, config.name
+        self._effects = {kind.name: kind.effect for kind in config.settings.classes}
+        self._random = random.Random(config.seed ^ 0x5EED)
+        self.journal = Journal(config.name, rules.store, self._facts)
+        self.disk = Disk(disk.folder(Path(rules.data)), self.journal)
+        self.ledger = Ledger(self.journal, self.disk.find, rules.retries_marked, rules.store.answer_bytes)
+        self.members = Members(config.name, tuple(member.name for member in rules.members), rules.turns)
+        self.gates = Gates(len(rules.members), rules.retries_marked, rules.waits)
+        self.facts = Facts()
+        self._last = Life()  # one's own last life, as the folder says
+        self._gone_back = 0
+        self._list: KnownList | None = None
+        self._news: api.RolloutNews | None = None
+        self._operations: dict[str, str] = {}  # by request
+        self._may_have_run: set[str] = set()  # operations whose client left while an attempt was out
+        self._tries: dict[str, list[_Try]] = {}  # by operation, further ones
+        self._lines: dict[str, Line] = {}
+        self._group: TaskGroup | None = None
+        self._changed = anyio.Event()
+        self._steady = time.monotonic
+        self._began = self._steady()
+        window = config.settings.rollout.window if config.settings.rollout else 0
+        self._window = window / 1e6
+        self._relist: Callable[[Listing], None] = lambda listing: None
+        self._entries: dict[str, Any] = {}  # the list as it is, by instance
+        self._generation, self._list_dirty = 0, False
+        self._noted: set[str] = set()
+
+    # ---- the start, and what goes on beside requests -----------------------------------------------
+
+    async def run(self, relist: Callable[[Listing], None]) -> None:
+        """Recover, then keep the link and the gates; `relist` takes the list that was remembered."""
+        self._relist, self._began = relist, self._steady()
+        async with anyio.create_task_group() as group:
+            self._group = group
+            group.start_soon(self._judge_on)
+            group.start_soon(self._listen)
+            await self._recover()
+            if self.disk.opened:
+                group.start_soon(self.disk.run)
+                group.start_soon(self._live)
+                for member in self.rules.members:
+                    if member.name != self._name:
+                        host, _, port = member.address.rpartition(":")
+                        line = Line(member.name, Address(host.strip("[]"), int(port)), self.rules.key,
+                                    self.rules.turns.every, self._beat, self._heard)
+                        self._lines[member.name] = line
+                        group.start_soon(line.run)
+                group.start_soon(self._turns)
+
+    async def _recover(self) -> None:
+        try:
+            await self.disk.open(self._recall)
+        except OSError as error:
+            self.facts.unusable = str(error)
+        if not self.journal.condition.usable:
+            self.facts.unusable = f"{self.journal.condition.value}: {self.journal.why}"
+        if self.facts.unusable:
+            self.ledger.doubt = self.facts.unusable
+            _log.error("the record cannot be used: no unsafe work is taken", why=self.facts.unusable)
+        else:
+            try:
+                ticket = self.ledger.settle_past(self._payload)
+            except (OSError, ValueError) as error:
+                self.facts.unusable = self.ledger.doubt = f"an open operation cannot be read: {error}"
+                self.disk.opened = False
+                _log.error("the record cannot be used: no unsafe work is taken", why=self.facts.unusable)
+            else:
+                self.facts.unsettled = len(self.ledger.lost) if ticket else 0
+                if ticket:
+                    self.disk.when(ticket, self._settled)
+        self._last.batch, self._last.store = self.journal.on_disk, self.journal.store
+        self.facts.read = True
+        if self._list:
+            try:
+                self._relist(msgspec.convert(self._list.listing, Listing))
+                _log.info("remembered list", age_s=round(time.time() - self._list.at, 1))
+            except msgspec.ValidationError as error:
+                _log.warning("remembered list cannot be read", why=str(error))
+        _log.info("record read", condition=self.journal.condition.value, segments=self.journal.segments,
+                  torn_bytes=self.journal.torn, operations=len(self.journal.index),
+                  lost=len(self.ledger.lost), last_life=self._last.incarnation)
+        self._touch()
+
+    def _settled(self, good: bool) -> None:
+        self.facts.unsettled = 0 if good else self.facts.unsettled
+        self._touch()
+
+    def _payload(self, segment: int, offset: int) -> bytes:
+        raw = self.disk.folder.part(segment, offset, 1024)
+        record = frames.record_at(raw, self.journal.version_of(segment))
+        if record is None:
+            raise ValueError(f"segment {segment}, byte {offset}")
+        return record[2]
+
+    def _recall(self, data: bytes) -> None:
+        match written.decode(data):
+            case written.Life(incarnation):
+                self._last.incarnation = max(self._last.incarnation, incarnation)
+            case Seen(member, incarnation, batch, store):
+                self.members.recall(member, Life(incarnation, batch, store))
+            case Doubt(why):
+                self.ledger.doubt = self.facts.doubt = why
+            case GoneBack(build):
+                self._gone_back = max(self._gone_back, build)
+            case Hold(who, on):
+                self.facts.held = who if on else ""
+            case KnownList() as known:
+                self._list = known
+
+    def _facts(self) -> Iterable[Record]:
+        kept: list[Fact] = [written.Life(max(self.members.incarnation, self._last.incarnation))]
+        kept += [Seen(name, peer.kept.incarnation, peer.kept.batch, peer.kept.store)
+                 for name, peer in self.members.peers.items() if peer.kept.incarnation]
+        if self.facts.doubt:
+            kept.append(Doubt(self.facts.doubt))
+        if self._gone_back:
+            kept.append(GoneBack(self._gone_back))
+        if self.facts.held:
+            kept.append(Hold(self.facts.held, True))
+        if self._list:
+            kept.append(self._list)
+        return [*(Record(State.FACT, 0, written.encode(fact)) for fact in kept), *self.ledger.carried()]
+
+    def _note(self, fact: Fact) -> int:
+        ticket = self.journal.append(Record(State.FACT, 0, written.encode(fact)))
+        self.disk.poke()
+        return ticket
+
+    async def _live(self) -> None:
+        """Begin a life: its number is on disk before anybody is told."""
+        number = self._last.incarnation
+        while True:
+            number = max(number, self.members.must_exceed) + 1
+            if not await self.disk.durable(self._note(written.Life(number))):
+                return
+            self.members.incarnation = number
+            self.facts.identity = True
+            self._touch()
+            for line in self._lines.values():
+                line.poke()
+            while self.members.must_exceed < number:
+                await self._changed.wait()
+            self.facts.identity = False
+
+    async def _listen(self) -> None:
+        own = next(member for member in self.rules.members if member.name == self._name)
+        host, _, port = (self.rules.listen or own.address).rpartition(":")
+        listener = Listener(self.rules.key, CALLERS_PART * len(self.rules.members) + 4, self._answer)
+        while True:
+            try:
+                await listener.run(Address(host.strip("[]"), int(port)))
+            except OSError as error:
+                _log.error("the group cannot be listened for", why=str(error))
+            await anyio.sleep(1.0)
+
+    async def _turns(self) -> None:
+        every = self.rules.turns.every
+        attention = Attention(every, every * PAUSE_MOST)
+        while True:
+            attention.turn(self._steady())
+            if not attention.paused:
+                for name, health in self.members.turn():
+                    _log.warning("member", member=name, health=health.value)
+            self._note_list()
+            self._touch()
+            await anyio.sleep(every)
+
+    async def _judge_on(self) -> None:
+        while True:
+            self._changed = anyio.Event()
+            self._judge()
+            with anyio.move_on_after(0.1):
+                await self._changed.wait()
+
+    def _touch(self) -> None:
+        self._changed.set()
+
+    def _judge(self) -> None:
+        facts, now = self.facts, self._steady() - self._began
+        facts.fault, facts.full = self.journal.fault, self.journal.full
+        facts.acknowledging = self.members.acknowledging
+        here = set(self.members.here)
+        facts.unheard = tuple(name for name in self.members.peers if name not in here)
+        facts.window_over = now >= self._window
+        if self.members.replaced_by and not facts.replaced:
+            facts.replaced = f"life {self.members.replaced_by} of this member has begun elsewhere"
+            _log.error("replaced: this agent stops", why=facts.replaced)
+            self._front.stop()
+        if self.members.outdated and not facts.doubt:
+            facts.doubt = self.ledger.doubt = self.members.outdated
+            self._note(Doubt(facts.doubt))
+            _log.error("the folder is lost, swapped or old: it proves nothing", why=facts.doubt)
+        doubting = [name for name, peer in self.members.peers.items() if peer.doubt]
+        if bool(facts.doubt) + len(doubting) >= self.members.majority and "majority" not in self._noted:
+            self._noted.add("majority")
+            _log.error("a majority has come back without its records", members=sorted(
+                [*doubting, *([self._name] if facts.doubt else [])]))
+        for gate in self.gates.judge(now, facts):
+            point = self.gates.points[gate]
+            _log.info("gate", gate=gate.value, stand=point.stand.value, why=point.why, after_s=round(now, 3))
+            if gate is Gate.VOTES and point.stand is Stand.OPEN and self._news:
+                self._front.post(self._news)
+
+    # ---- the group ---------------------------------------------------------------------------------
+
+    def _beat(self, member: str) -> Beat | None:
+        if not self.members.incarnation or not self.facts.identity:
+            return None
+        kept = self.members.peers[member].kept if member in self.members.peers else Life()
+        waiting = self.gates.waited_for()
+        return Beat(self._name, self.members.incarnation, self.journal.on_disk, self.journal.store,
+                    time.time(), waiting[0].value if waiting else "", self.facts.doubt,
+                    (kept.incarnation, kept.batch, kept.store))
+
+    def _heard(self, beat: Beat) -> None:
+        # Danger: held against a folder that has not been read yet, what others know of it looks like more.
+        if beat.name not in self.members.peers or not self.facts.read:
+            return
+        ahead = beat.wall - time.time()
+        life = Life(beat.incarnation, beat.batch, beat.store)
+        if abs(ahead) > CLOCK_APART and f"clock {beat.name}" not in self._noted:
+            self._noted.add(f"clock {beat.name}")
+            _log.warning("clocks differ", member=beat.name, ahead_s=round(ahead, 1))
+        answer = self.members.heard(beat.name, life, beat.stage, ahead, beat.doubt)
+        before = self.members.must_exceed
+        self.members.told_of_me(beat.name, Life(*beat.kept), self._last)
+        if answer is Answer.NEW_LIFE and self.disk.opened:
+            ticket = self._note(Seen(beat.name, life.incarnation, life.batch, life.store))
+            self.disk.when(ticket, lambda good: self._wrote_down(beat.name, life) if good else None)
+        elif answer is Answer.GOOD:
+            # The batches of a life that is on disk go to the disk with the next segment.
+            self.members.wrote_down(beat.name, life)
+        if self.members.must_exceed > before:
+            _log.warning("others knew later lives of this member", beyond=self.members.must_exceed)
+        self._touch()
+
+    def _wrote_down(self, name: str, life: Life) -> None:
+        self.members.wrote_down(name, life)
+        if line := self._lines.get(name):
+            line.poke()
+        self._touch()
+
+    def _answer(self, message: Message) -> Message | None:
+        match message:
+            case Beat():
+                self._heard(message)
+                return self._beat(message.name)
+            case Ask(number, names):
+                return Tell(number, [self._asked(name) for name in names])
+            case Order(number, what, who):
+                return Report(number, self._order(what, who))
+        return None
+
+    def _asked(self, name: str) -> Told:
+        if not self.facts.read:
+            return Word.UNSURE.value, None
+        try:
+            told = self.ledger.asked(name)
+        except (OSError, ValueError) as error:
+            self._unreadable(error)
+            return Word.UNSURE.value, None
+        return told.word.value, told.answer
+
+    def _unreadable(self, error: Exception) -> None:
+        if not self.facts.doubt:
+            self.facts.doubt = self.ledger.doubt = f"a record cannot be read any more: {error}"
+            _log.error("the record proves nothing any more", why=self.facts.doubt)
+            self._touch()
+
+    def _order(self, what: str, who: str) -> dict[str, Any]:
+        if what == "accept" and self.facts.doubt and self.disk.opened:
+            _log.warning("operators accept the loss", who=who, doubt=self.facts.doubt)
+            self.members.outdated = self.facts.doubt = self.ledger.doubt = ""
+            self._last = Life(self.members.incarnation, self.journal.on_disk, self.journal.store)
+            self._note(Doubt(""))
+            self._noted.discard("majority")
+        elif what in ("hold", "lift"):
+            self.facts.held = who if what == "hold" else ""
+            self._note(Hold(who, what == "hold"))
+            _log.warning("votes", order=what, who=who)
+        self._touch()
+        return self.status()
+
+    def status(self) -> dict[str, Any]:
+        """What operators see."""
+        journal, waiting = self.journal, self.gates.waited_for()
+        return {
+            "name": self._name, "life": self.members.incarnation, "record": journal.condition.value,
+            "why": self.facts.unusable or journal.fault, "doubt": self.facts.doubt,
+            "waits_for": waiting[0].value if waiting else "", "because": waiting[1] if waiting else "",
+            "gates": {gate.value: [point.stand.value, point.why, round(point.since, 3)]
+                      for gate, point in self.gates.points.items()},
+            "members": {name: [peer.health.value, peer.life.incarnation, peer.stage, peer.doubt,
+                               round(peer.clock_ahead, 3)] for name, peer in self.members.peers.items()},
+            "bytes": journal.bytes, "segments": journal.segments, "operations": len(journal.index),
+            "open": len(self.ledger.live), "lost": len(self.ledger.lost), "held": self.facts.held,
+            "commits": self.disk.commits,
+        }
+
+    # ---- what the agent tells ----------------------------------------------------------------------
+
+    def listed(self, listing: Listing, remembered: bool = False) -> None:
+        """A list, or changes of it."""
+        self.facts.list_known = self.facts.list_known or bool(listing.instances)
+        if remembered:
+            self._touch()
+            return
+        self.facts.list_told = True
+        if listing.reset:
+            self._entries.clear()
+        for entry in listing.instances:
+            self._entries.pop(entry.instance_id, None)
+            if entry.lifecycle != "terminated":
+                self._entries[entry.instance_id] = entry
+        self._generation, self._list_dirty = listing.generation, True
+        self._touch()
+
+    def _note_list(self) -> None:
+        """Write the list down, if it has changed: once a turn at most."""
+        if self._list_dirty and not self.journal.fault:
+            self._list_dirty = False
+            whole = Listing(self._generation, True, list(self._entries.values()))
+            self._list = KnownList(time.time(), msgspec.to_builtins(whole))
+            self._note(self._list)
+
+    def news(self, event: api.RolloutNews) -> None:
+        """News of builds: handed on once votes may be cast, and exposure cannot be spent already."""
+        if event.phase in (api.Phase.GOING_BACK, api.Phase.WITHDRAWN) and event.build > self._gone_back:
+            self._gone_back = event.build
+            if self.disk.opened and not self.journal.fault:
+                self._note(GoneBack(event.build))
+        self._news = event
+        if event.reply is not api.VoteReply.NONE or self.gates.open(Gate.VOTES):
+            self._front.post(event)
+
+    def at_start(self, news: api.RolloutNews) -> None:
+        """What the configuration says of builds, which may be older than what is on disk."""
+        if self._news is None and news.build > self._gone_back:
+            self._news = news
+
+    # ---- requests ----------------------------------------------------------------------------------
+
+    def take(self, statement: Statement, client: Waiting, deadline: int) -> bool:
+        """A client's query; whether all is done for it, or will be, without the decision module."""
+        effect = self._effects[statement.class_name]
+        if effect is not api.Effect.UNSAFE:
+            gate = Gate.READS_NEAR if effect is api.Effect.SAFE else Gate.KEYED
+            if self.gates.open(gate):
+                return False
+            client.answer(self._come_again())
+            return True
+        name = self._name_of(statement)
+        again, sure = statement.is_retry or not self.rules.retries_marked, self.facts.read
+        if len(name.encode()) > operations.NAME_MOST:
+            client.answer(failed())
+            return True
+        try:
+            way, told = self.ledger.admit(name, statement.is_retry) if sure else (Way.ASK, None)
+        except (OSError, ValueError) as error:
+            self._unreadable(error)
+            client.answer(failed())
+            return True
+        if way is Way.TOLD and told:
+            client.answer(self._told(told))
+        elif way is Way.AGAIN:
+            client.answer(self._come_again())
+        elif way is Way.JOIN:
+            self._join(name, client, statement.request, deadline)
+        elif self.gates.open(Gate.UNSAFE):
+            self._operations[statement.request] = name
+            return False
+        else:
+            if sure:
+                self.ledger.end(name, State.NEVER)
+            # Danger: an earlier try may have run, so that to call another one harmless could be a lie.
+            client.answer(failed() if again else self._come_again())
+        return True
+
+    def knows(self, statement: Statement) -> bool:
+        """Whether this asks again for an operation that is known here."""
+        if self._effects[statement.class_name] is not api.Effect.UNSAFE or not self.facts.read:
+            return False
+        try:
+            return self.ledger.known(self._name_of(statement)) is not None
+        except (OSError, ValueError):
+            return False
+
+    def _name_of(self, statement: Statement) -> str:
+        return (statement.field(self.rules.operation) if self.rules.operation else "") or statement.request
+
+    def _told(self, told: operations.Told) -> bytes:
+        return told.answer + READY if told.word is Word.SERVED and told.answer is not None else failed()
+
+    def _come_again(self) -> bytes:
+        return refused(int(COME_AGAIN * self._random.uniform(1.0, 1.5)))
+
+    def _join(self, name: str, client: Waiting, request: str, deadline: int) -> None:
+        one = _Try(client, request)
+        self._tries.setdefault(name, []).append(one)
+
+        async def expire() -> None:
+            await anyio.sleep(max(deadline - EARLY - self._clock(), 0) / 1e6)
+            if one in self._tries.get(name, []):
+                self._tries[name].remove(one)
+                one.tell(failed())
+
+        if self._group:
+            self._group.start_soon(expire)
+
+    async def clear(self, request: str, over: Callable[[], bool], deadline: int) -> bool:
+        """Wait until an attempt may be written to a server; False where it never will be.
+
+        True is returned without giving others a turn after the last check.
+        """
+        name = self._operations.get(request)
+        if name is None:
+            return True
+        operation = self.ledger.live.get(name)
+        if operation is None:
+            return False
+        ticket = self.ledger.intend(name)
+        self.disk.poke()
+        if not await self.disk.durable(ticket):
+            self._give_up(request, name)
+            return False
+        if operation.ask and not operation.cleared and not await self._ask(request, name, deadline):
+            return False
+        return not over() and self.ledger.may_write(name)
+
+    def _give_up(self, request: str, name: str) -> None:
+        operation = self.ledger.live.get(name)
+        sure = operation is not None and (operation.cleared or not operation.ask)
+        self._front.conclude(request, self._come_again() if sure else failed(),
+                             Final.REFUSED if sure else Final.FAILED)
+
+    async def _ask(self, request: str, name: str, deadline: int) -> bool:
+        """Ask all others; whether nobody can have run it. Else the request has its answer, or will have."""
+        others = list(self._lines)
+        self.ledger.ask(name, others)
+        within = min(self.rules.waits.ask, max(deadline - EARLY - self._clock(), 0) / 1e6)
+        words = await self._words(name, others, within)
+        for member, told in words.items():
+            self.ledger.answered(name, member, told)
+        operation = self.ledger.live.get(name)
+        if operation is None or operation.ended is not None:
+            return False
+        if operation.cleared:
+            return True
+        known = next((told for told in words.values() if told.word in (Word.SERVED, Word.FAILED)), None)
+        under_way = [member for member, told in words.items() if told.word is Word.OPEN]
+        if known is None and under_way:
+            # Both have their intents down: this one steps back, and tells what becomes of the other.
+            self._end(name, State.NEVER)
+            while known is None and self._clock() < deadline - EARLY - POLL * 1e6:
+                await anyio.sleep(POLL)
+                words = await self._words(name, under_way, POLL * 4)
+                known = next((told for told in words.values()
+                              if told.word in (Word.SERVED, Word.FAILED)), None)
+        answer = self._told(known) if known else failed()
+        self._front.conclude(request, answer, Final.FAILED if known is None else (
+            Final.SERVED if known.word is Word.SERVED else Final.FAILED))
+        return False
+
+    async def _words(self, name: str, members: list[str], within: float) -> dict[str, operations.Told]:
+        found: dict[str, operations.Told] = {}
+        missing = set(members)
+        all_there = anyio.Event()
+        if not members:
+            return found
+
+        def told(member: str, word: Told | None) -> None:
+            missing.discard(member)
+            if word is not None:
+                found[member] = operations.Told(Word(word[0]), word[1])
+            if not missing or (word is not None and word[0] in ("open", "served", "failed")):
+                all_there.set()
+
+        for member in members:
+            self._lines[member].ask(name, lambda word, member=member: told(member, word))  # type: ignore
+        with anyio.move_on_after(within):
+            await all_there.wait()
+        return found
+
+    def attempted(self, request: str, ending: Ending) -> None:
+        """An attempt has ended, also one whose request is done."""
+        name = self._operations.get(request)
+        if name is None:
+            return
+        if isinstance(ending.answer, Row):
+            self._end(name, State.SERVED, ending.answer.data)
+        elif not ending.outcome.never_ran:
+            self._may_have_run.add(name)
+
+    def finish(self, request: str, answer: bytes, end: Final, client: Waiting, over: bool) -> None:
+        """A request's final answer: given at once, but for an unsafe one's that was served, once on disk.
+
+        `over`: none of its attempts is out.
+        """
+        one, name = _Try(client, request), self._operations.get(request)
+        if over and name is not None:
+            del self._operations[request]
+            self._may_have_run.discard(name)
+        if name is None:
+            one.tell(answer)
+            return
+        operation = self.ledger.live.get(name)
+        if end is Final.SERVED:
+            self._tries.setdefault(name, []).insert(0, one)
+            if operation and operation.ended is None:
+                self._end(name, State.SERVED, answer[:-len(READY)])
+            elif operation is None or operation.ended is not State.SERVED:
+                self._tell(name, answer)  # it was served elsewhere
+            return
+        if end is Final.REFUSED and operation and operation.ask and not operation.cleared:
+            answer = failed()  # an earlier try may have run at another member
+        one.tell(answer)
+        if operation and operation.ended is None:
+            ran = end is Final.FAILED and (operation.ticket and operation.may_write)
+            self._end(name, State.FAILED if ran else State.NEVER)
+        self._tell(name, answer)
+
+    def closed(self, request: str) -> None:
+        """A request is over with all its attempts."""
+        name = self._operations.pop(request, None)
+        if name is None:
+            return
+        ran = name in self._may_have_run
+        self._may_have_run.discard(name)
+        operation = self.ledger.live.get(name)
+        if operation and operation.ended is None:
+            self._end(name, State.FAILED if ran else State.NEVER)
+            if operation.ended is not State.SERVED:
+                self._tell(name, failed())
+
+    def _end(self, name: str, state: State, answer: bytes | None = None) -> None:
+        operation = self.ledger.live.get(name)
+        if operation is None or operation.ended is not None:
+            return
+        ticket = self.ledger.end(name, state, answer)
+        given = None if answer is None else answer + READY
+
+        def on_disk(good: bool) -> None:
+            more = self.ledger.done(name) if good else 0
+            if more:
+                self.disk.when(more, on_disk)
+                self.disk.poke()
+            elif given is not None:
+                # Where the disk has failed the row is still true, and who asks again is told no less.
+                self._tell(name, given)
+
+        if ticket:
+            self.disk.when(ticket, on_disk)
+            self.disk.poke()
+        elif given is not None:
+            self._tell(name, given)
+
+    def _tell(self, name: str, answer: bytes) -> None:
+        for one in self._tries.pop(name, []):
+            one.tell(answer)
+
+    def close(self) -> None:
+        """Let the folder go."""
+        self.disk.folder.close()
--- a/frostfall/options.py
+++ b/frostfall/options.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import msgspec
 
 from frostfall.limits.rules import SlowPeers
@@ -15,3 +17,4 @@
     """The operator file. Without one, all is as these defaults say: nothing beyond the platform's own."""
 
     slow_peers: SlowPeers | None = None
+    group: Any = None  # a recovery.rules.Group, checked by `config`: who has none does not load what it needs
--- a/frostfall/protocol/ending.py
+++ b/frostfall/protocol/ending.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from enum import IntEnum
+from enum import Enum, IntEnum
 
 from frostfall.interface import Outcome
 from frostfall.protocol.pg_client import Answer, Refusal, Row
@@ -11,6 +11,14 @@
 REFUSALS = frozenset({"53300", "57P03"})  # turned away unseen: too many connections, or not serving now
 
 
+class Final(Enum):
+    """What a request's final answer says."""
+
+    SERVED = "served"
+    REFUSED = "refused"  # it never ran, and trying again is harmless
+    FAILED = "failed"  # it may have run
+
+
 class Progress(IntEnum):
     """How far an attempt had come."""
 
@@ -29,6 +37,7 @@
     timed_out: bool = False
     cancelled: bool = False
     stalled: bool = False  # given up because the server took or gave bytes too slowly
+    withheld: bool = False  # the agent itself did not let it go out
     load: str | None = None  # the load report that came along
     why: str = ""
 
@@ -42,6 +51,8 @@
             if answer.code in REFUSALS:
                 return Outcome.OVERLOADED
             return Outcome.ERROR if started else Outcome.UNREACHABLE
+        if self.withheld:
+            return Outcome.NEVER_SENT
         if self.cancelled:
             return Outcome.CANCELLED
         if not started:
--- /dev/null
+++ b/frostfall/protocol/group.py
@@ -0,0 +1,136 @@
+"""The link between members: frames of msgpack with a keyed checksum, as bytes in and messages out.
+
+    frame = u32 length, 16 bytes of BLAKE2b (RFC 7693) keyed for this connection and direction, body
+
+Who accepts a connection sends 16 random bytes first, in the clear; who dialled answers with 16 of its own and
+then speaks. The key of each direction is made of the shared key and both. The checksum covers a count of the
+frames too, so that none can be sent again, left out or sent back. What does not fit ends the connection.
+"""
+
+from __future__ import annotations
+
+import hmac
+import struct
+from hashlib import blake2b
+from typing import Any
+
+import msgspec
+
+NONCE = 16
+FRAME_MOST = 1024 * 1024  # bytes
+_HEAD = struct.Struct("<I16s")
+
+
+class Beat(msgspec.Struct, tag="beat", array_like=True):
+    """How the sender is, and what it has on disk of the member that it speaks to."""
+
+    name: str
+    incarnation: int
+    batch: int
+    store: str
+    wall: float  # seconds of Unix time by its clock
+    stage: str
+    doubt: str
+    kept: tuple[int, int, str]  # incarnation, batch and store of the receiver, as it wrote them down
+    number: int = 0  # of the question, 0 in what is no question
+
+
+class Ask(msgspec.Struct, tag="ask", array_like=True):
+    """What do you know of these operations? The sender's intents are on disk."""
+
+    number: int
+    names: list[str]
+
+
+class Tell(msgspec.Struct, tag="tell", array_like=True):
+    """The answer, in order: a word for each, with the answer that was given where there is one."""
+
+    number: int
+    told: list[tuple[str, bytes | None]]
+
+
+class Order(msgspec.Struct, tag="order", array_like=True):
+    """An operator's word, by the command line."""
+
+    number: int
+    what: str  # status, accept, hold, lift
+    who: str = ""
+
+
+class Report(msgspec.Struct, tag="report", array_like=True):
+    """The answer to an operator."""
+
+    number: int
+    fields: dict[str, Any]
+
+
+Message = Beat | Ask | Tell | Order | Report
+_DECODER = msgspec.msgpack.Decoder(Beat | Ask | Tell | Order | Report)
+
+
+class Stranger(Exception):
+    """What came is no frame of this group's."""
+
+
+class Wire:
+    """One connection's frames, both ways."""
+
+    def __init__(self, key: str, dialled: bool, own: bytes) -> None:
+        """`own`: 16 random bytes, which are to be sent first."""
+        self._shared, self._dialled, self._own = key, dialled, own
+        self._data = bytearray()
+        self._keys: tuple[bytes, bytes] | None = None  # sending, receiving
+        self._sent = self._received = 0
+
+    @property
+    def ready(self) -> bool:
+        """Whether the other side's bytes have come, so that frames can be sent."""
+        return self._keys is not None
+
+    def feed(self, data: bytes) -> list[Message]:
+        """Take in bytes; the messages that are whole by now. Stranger where they are none of ours."""
+        self._data += data
+        if self._keys is None:
+            if len(self._data) < NONCE:
+                return []
+            self._derive(bytes(self._data[:NONCE]))
+            del self._data[:NONCE]
+        found: list[Message] = []
+        while len(self._data) >= _HEAD.size:
+            length, checksum = _HEAD.unpack_from(self._data)
+            if length > FRAME_MOST:
+                raise Stranger("a frame over the limit")
+            if len(self._data) < _HEAD.size + length:
+                break
+            body = bytes(self._data[_HEAD.size:_HEAD.size + length])
+            assert self._keys
+            self._received += 1
+            if not hmac.compare_digest(checksum, _sum(self._keys[1], self._received, body)):
+                raise Stranger("a frame with another key")
+            del self._data[:_HEAD.size + length]
+            try:
+                found.append(_DECODER.decode(body))
+            except msgspec.MsgspecError as error:
+                raise Stranger(f"a frame that cannot be read: {error}") from None
+        return found
+
+    def frame(self, message: Message) -> bytes:
+        """The bytes of a message."""
+        assert self._keys
+        body = msgspec.msgpack.encode(message)
+        self._sent += 1
+        return _HEAD.pack(len(body), _sum(self._keys[0], self._sent, body)) + body
+
+    def _derive(self, theirs: bytes) -> None:
+        first, second = (theirs, self._own) if self._dialled else (self._own, theirs)
+        out, back = (blake2b(first + second + way, key=_key(self._shared), digest_size=32).digest()
+                     for way in (b">", b"<"))
+        self._keys = (out, back) if self._dialled else (back, out)
+
+
+def _key(shared: str) -> bytes:
+    return blake2b(shared.encode(), digest_size=32).digest()
+
+
+def _sum(key: bytes, number: int, body: bytes) -> bytes:
+    return blake2b(number.to_bytes(8, "little") + body, key=key, digest_size=16).digest()
--- a/frostfall/protocol/statement.py
+++ b/frostfall/protocol/statement.py
@@ -29,6 +29,14 @@
     hint: int | None
     _before: bytes
     _after: bytes
+    _comment: bytes
+
+    def field(self, name: str) -> str:
+        """The value of a field of the comment; empty where there is none."""
+        for part in self._comment.split(b","):
+            if (pair := _PAIR.match(part)) and pair[1] == name.encode():
+                return pair[2].decode("utf-8", "replace")
+        return ""
 
     def waiting(self, wait_ms: int) -> bytes:
         """The statement unchanged but for how long the answer is waited for."""
@@ -62,7 +70,7 @@
         request=request.decode(), class_name=found[b"c"][0].decode("utf-8", "replace"),
         key=key.decode("latin-1"), wait_ms=int(wait), is_retry=found.get(b"r", (b"", 0))[0] == b"1",
         hint=int(hint) if _NUMBER.match(hint) else None,
-        _before=text[:at], _after=text[at + len(wait):])
+        _before=text[:at], _after=text[at + len(wait):], _comment=match[4])
 
 
 def load_values(text: str) -> dict[str, float]:
--- /dev/null
+++ b/frostfall/recovery/facts.py
@@ -0,0 +1,97 @@
+"""What is written down over and above operations, and what each kind of state is worth after a loss."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Any
+
+import msgspec
+
+
+class Life(msgspec.Struct, frozen=True, tag="life", array_like=True):
+    """The owner began a life with this incarnation number; on disk before anybody is told."""
+
+    incarnation: int
+
+
+class Seen(msgspec.Struct, frozen=True, tag="seen", array_like=True):
+    """What a member was seen to be: its life, and the last batch that it had on disk by then."""
+
+    member: str
+    incarnation: int
+    batch: int
+    store: str
+
+
+class Doubt(msgspec.Struct, frozen=True, tag="doubt", array_like=True):
+    """From here on this record proves nothing of what it does not hold; why. Empty: operators accepted it."""
+
+    why: str
+
+
+class GoneBack(msgspec.Struct, frozen=True, tag="back", array_like=True):
+    """A build that was sent back or withdrawn; a number no lower was never good since."""
+
+    build: int
+
+
+class Hold(msgspec.Struct, frozen=True, tag="hold", array_like=True):
+    """Operators hold votes for builds back, or do so no more."""
+
+    who: str
+    on: bool
+
+
+class KnownList(msgspec.Struct, frozen=True, tag="list", array_like=True):
+    """The server list as it was last told, and the wall clock's seconds then: a hint with an age."""
+
+    at: float
+    listing: Any
+
+
+Fact = Life | Seen | Doubt | GoneBack | Hold | KnownList
+_DECODER = msgspec.msgpack.Decoder(Life | Seen | Doubt | GoneBack | Hold | KnownList)
+
+
+def encode(fact: Fact) -> bytes:
+    """A fact as bytes."""
+    return msgspec.msgpack.encode(fact)
+
+
+def decode(data: bytes) -> Fact | None:
+    """A fact again; None for one of a kind that this version does not know."""
+    try:
+        fact: Fact = _DECODER.decode(data)
+        return fact
+    except msgspec.MsgspecError:
+        return None
+
+
+class Trust(Enum):
+    """What a kind of state is worth at a start."""
+
+    FACT = "fact"
+    HINT = "hint with an age"
+    NEVER = "never"
+    WORST = "worst case assumed"
+
+
+TRUST: dict[str, tuple[Trust, str]] = {
+    "own incarnation": (Trust.FACT, "the next life's is higher, also than any that others saw"),
+    "intents of unsafe work": (Trust.FACT, "one without an end may have run: failed, never sent again"),
+    "outcomes and answers given": (Trust.FACT, "given again to who asks with the operation's name"),
+    "builds that went back": (Trust.FACT, "no vote for them until the platform tells of a newer one"),
+    "holds of operators": (Trust.FACT, "stand until operators lift them"),
+    "members' lives as seen": (Trust.FACT, "an older life that speaks is told so"),
+    "the server list": (Trust.HINT, "used until discovery answers; replaced whole by its first list"),
+    "what was learned of servers": (Trust.HINT, "not kept: a start takes the fleet's mean"),
+    "who the members are": (Trust.HINT, "the operator file's members; who of them is here is found out anew"),
+    "requests out": (Trust.NEVER, "clients' connections are gone; intents tell what may have run"),
+    "connections": (Trust.NEVER, "opened anew"),
+    "suspicions": (Trust.NEVER, "all are unheard of at a start"),
+    "leases, being the one who decides": (Trust.NEVER, "there are none that outlive a life"),
+    "exposure of a build on trial": (Trust.WORST, "taken as spent for one whole window: no trial before"),
+    "cold budget": (Trust.WORST, "every server is taken as what the list says, and nothing as carried yet"),
+    "an own vote": (Trust.WORST, "it may still stand: none is cast before the platform has told the state"),
+    "the wall clock": (Trust.WORST, "kept ages count running time; differences to others are told aloud"),
+}
--- /dev/null
+++ b/frostfall/recovery/ledger.py
@@ -0,0 +1,255 @@
+"""Operations that must not run twice: intents before anything is sent, ends after, and what is told of both.
+
+No I/O and no clock. An operation is what a client names, over all its tries. The rule that all rests on: an
+intent is on disk before the first byte goes to a server, and an intent without an end may have run, for ever.
+So no intent in a whole record proves that its owner never sent it. Where a client may have asked another
+member before, that member is asked too, after the own intent is on disk: two members that are given the same
+operation at once each have their intent down before they ask, so at least one of them hears of the other.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from frostfall.storage.frames import Record, State
+from frostfall.storage.index import place_of
+from frostfall.storage.journal import Journal, key_of
+
+NAME_MOST = 255  # bytes of an operation's name
+CEDED_MOST = 100_000  # names told to be unknown here; past that, others are asked about every operation
+KEPT, CUT = 0, 1  # whether an answer is kept whole
+
+Look = Callable[[int, Callable[[bytes], bool]], tuple[State, bytes, int] | None]
+
+
+def payload(name: str, answer: bytes | None = b"") -> bytes:
+    """What stands in an operation's record; None: the answer was too long to be kept."""
+    raw = name.encode()
+    return bytes([len(raw), KEPT if answer is not None else CUT]) + raw + (answer or b"")
+
+
+def name_in(data: bytes) -> str:
+    """The name in a record's payload."""
+    return data[2:2 + data[0]].decode("utf-8", "replace")
+
+
+def answer_in(data: bytes) -> bytes | None:
+    """The answer in a record's payload; None where it was not kept."""
+    return data[2 + data[0]:] if data[1] == KEPT else None
+
+
+class Word(Enum):
+    """What a member says of an operation."""
+
+    NONE = "none"  # it has no record of it, its record is whole, and it will not begin it any more
+    OPEN = "open"  # it is at work on it, or may be
+    SERVED = "served"
+    FAILED = "failed"  # it may have run
+    UNSURE = "unsure"  # it has no record of it, and its record proves nothing
+
+
+@dataclass(slots=True)
+class Told:
+    """A word, with the answer where there is one."""
+
+    word: Word
+    answer: bytes | None = None
+
+
+class Way(Enum):
+    """What to do with a try at an operation."""
+
+    NEW = "new"  # nobody can have tried it before
+    ASK = "ask"  # others are to be asked before anything is sent
+    JOIN = "join"  # it is under way here: the same end is for this try too
+    TOLD = "told"  # it has ended
+    AGAIN = "again"  # it ended without having run, a moment ago: harmless to come again
+
+
+@dataclass(slots=True)
+class Operation:
+    """One that is under way here."""
+
+    name: str
+    key: int
+    ask: bool  # whether others are to be asked
+    cleared: bool = False  # nobody can have run it
+    ticket: int = 0  # of the intent; 0 before there is one
+    waiting_for: set[str] = field(default_factory=set)  # members that have not answered yet
+    ended: State | None = None
+    answer: bytes | None = None
+    end_ticket: int = 0  # of the end's record; 0 while there is none
+
+    @property
+    def may_write(self) -> bool:
+        """Whether all but the intent's sync allows a write."""
+        return self.ended is None and (self.cleared or not self.ask)
+
+
+class Ledger:
+    """What one agent knows of operations."""
+
+    def __init__(self, journal: Journal, look: Look, marked: bool, answer_most: int = 4096) -> None:
+        """`look` finds in the log; `marked`: clients mark all tries but an operation's first."""
+        self.journal, self._look, self.marked, self._answer_most = journal, look, marked, answer_most
+        self.live: dict[str, Operation] = {}
+        self.ceded: dict[str, None] = {}  # told to be unknown here, in this life
+        self.lost: dict[str, int] = {}  # open when an earlier life ended, with their places
+        self.doubt = ""  # why the record proves nothing of what it does not hold
+
+    # ---- a start -----------------------------------------------------------------------------------
+
+    def settle_past(self, read: Callable[[int, int], bytes]) -> int:
+        """End what was open when the last life ended, as lost; the ticket of it, 0 where there was none.
+
+        `read` gives the payload at a segment and offset.
+        """
+        ticket = 0
+        for key, place in list(self.journal.index.items()):
+            state = State(place & 7)
+            if state not in (State.OPEN, State.LOST):
+                continue
+            data = read(place >> 35, (place >> 3) & 0xFFFFFFFF)
+            self.lost[name_in(data)] = place
+            if state is State.OPEN:
+                ticket = self.journal.append(Record(State.LOST, key, data, place))
+        return ticket
+
+    def carried(self) -> Iterable[Record]:
+        """Records that a new segment begins with: what is open, and what is lost for ever."""
+        for name, operation in self.live.items():
+            if operation.ticket and operation.ended is None:
+                yield Record(State.OPEN, operation.key, payload(name), self._place(name, operation.key))
+        for name in self.lost:
+            key = key_of(name)
+            yield Record(State.LOST, key, payload(name), self._place(name, key))
+
+    def _place(self, name: str, key: int) -> int:
+        """The place of a name on disk, 0 where it has none."""
+        places = self.journal.find(key)
+        if not places:
+            return 0
+        if len(places) == 1:
+            return place_of(*places[0])
+        found = self._look(key, lambda data: name_in(data) == name)
+        return found[2] if found else 0
+
+    # ---- tries -------------------------------------------------------------------------------------
+
+    def known(self, name: str) -> Told | None:
+        """What is known of an operation here, if anything; OSError or ValueError where the log fails."""
+        if operation := self.live.get(name):
+            if operation.ended is State.SERVED:
+                return Told(Word.SERVED, operation.answer)
+            return Told(Word.FAILED if operation.ended is State.FAILED else Word.OPEN)
+        if name in self.lost:
+            return Told(Word.FAILED)
+        found = self._look(key_of(name), lambda data: name_in(data) == name)
+        if found is None:
+            return None
+        if found[0] is State.SERVED:
+            return Told(Word.SERVED, answer_in(found[1]))
+        return Told(Word.FAILED)
+
+    def admit(self, name: str, again: bool) -> tuple[Way, Told | None]:
+        """A client's try at an operation: what to do with it, and what is known where it has ended."""
+        if (operation := self.live.get(name)) and operation.ended is State.NEVER:
+            return Way.AGAIN, None
+        told = self.known(name)
+        if told is None:
+            ask = again or not self.marked or name in self.ceded
+            self.live[name] = Operation(name, key_of(name), ask)
+            return (Way.ASK if ask else Way.NEW), None
+        return (Way.JOIN if told.word is Word.OPEN else Way.TOLD), told
+
+    def intend(self, name: str) -> int:
+        """Write the intent down; the ticket to wait for before anything is sent."""
+        operation = self.live[name]
+        if not operation.ticket:
+            operation.ticket = self.journal.append(Record(State.OPEN, operation.key, payload(name)))
+        return operation.ticket
+
+    def may_write(self, name: str) -> bool:
+        """Whether a server may be sent this now: its intent is on disk, and nobody else can have run it."""
+        operation = self.live.get(name)
+        return bool(operation and operation.may_write and operation.ticket
+                    and operation.ticket <= self.journal.durable and not self.journal.fault)
+
+    def end(self, name: str, state: State, answer: bytes | None = None) -> int:
+        """An operation has ended: the ticket to wait for before `done`, 0 where nothing is to be kept.
+
+        `state` is SERVED with its answer, FAILED where it may have run, NEVER where it provably never did.
+        """
+        operation = self.live.get(name)
+        if operation is None or operation.ended is not None:
+            return 0
+        operation.ended, operation.answer = state, answer
+        if not operation.ticket:
+            del self.live[name]
+            return 0
+        if operation.ticket <= self.journal.durable:
+            self._write_end(operation)
+        return operation.end_ticket or operation.ticket
+
+    def done(self, name: str) -> int:
+        """The ticket of `end` is on disk: one more to wait for, or 0 once the log answers for all of it."""
+        operation = self.live.get(name)
+        if operation is None or operation.ended is None:
+            return 0
+        if not operation.end_ticket:  # its intent was still on its way to the disk
+            self._write_end(operation)
+            return operation.end_ticket
+        del self.live[name]
+        return 0
+
+    def _write_end(self, operation: Operation) -> None:
+        name, state, answer = operation.name, operation.ended, operation.answer
+        assert state is not None
+        kept = answer if answer is not None and len(answer) <= self._answer_most else None
+        data = payload(name, kept if state is State.SERVED else b"")
+        place = self._place(name, operation.key)
+        operation.end_ticket = self.journal.append(Record(state, operation.key, data, place))
+
+    # ---- between members ---------------------------------------------------------------------------
+
+    def asked(self, name: str) -> Told:
+        """Another member asks, with its own intent on disk."""
+        told = self.known(name)
+        if told is not None:
+            operation = self.live.get(name)
+            if operation and not operation.ticket:
+                # Begun here, and nothing is down yet: it is given away, and has to ask before it goes on.
+                operation.ask, operation.cleared = True, False
+                return Told(Word.UNSURE if self.doubt else Word.NONE)
+            return told
+        if self.doubt:
+            return Told(Word.UNSURE)
+        if self.marked:  # else all are asked about all
+            # Danger: a first try may still lie unread in a buffer here. Once this member has said that it
+            # knows nothing of the operation, it must not begin it without asking.
+            self.ceded[name] = None
+            if len(self.ceded) > CEDED_MOST:
+                self.marked = False
+                self.ceded.clear()
+        return Told(Word.NONE)
+
+    def ask(self, name: str, members: Iterable[str]) -> None:
+        """These members are asked now."""
+        operation = self.live[name]
+        operation.waiting_for = set(members)
+        if not operation.waiting_for:
+            operation.cleared = not self.doubt
+
+    def answered(self, name: str, member: str, told: Told) -> Told | None:
+        """A member has answered; its word again where that ends the asking, as NONE alone does not."""
+        operation = self.live.get(name)
+        if operation is None or operation.ended is not None or member not in operation.waiting_for:
+            return None
+        if told.word is Word.NONE:
+            operation.waiting_for.discard(member)
+            if not operation.waiting_for and not self.doubt:
+                operation.cleared = True
+            return None
+        return told
