--- a/frostfall/bench/faults_disk.py
+++ b/frostfall/bench/faults_disk.py
@@ -18,7 +18,7 @@
 
 import msgspec
 
-from frostfall.net import disk
+from frostfall.net import clock, disk
 from frostfall.recovery.ledger import Ledger
 from frostfall.storage import frames
 from frostfall.storage.frames import State
@@ -144,6 +144,10 @@
     arm()
     signal.signal(signal.SIGUSR1, arm)
     disk.folder = HeldFolder
+    if ahead := float(os.environ.get("FROSTFALL_AHEAD") or 0):
+        _set_clock(ahead)
+    if os.environ.get("FROSTFALL_FORMAT") == "1":
+        frames.FORMAT, frames.batch = 1, _batch_1
     if os.environ.get("FROSTFALL_MUTANT") == "intent not synced":
         disk.Disk.durable = _at_once  # type: ignore[method-assign]
         Ledger.may_write = lambda self, name: name in self.live  # type: ignore[method-assign]
@@ -152,6 +156,24 @@
     return program()
 
 
+def _set_clock(ahead: float) -> None:
+    """Let the wall clock be wrong by so many seconds."""
+    right, right_ns = time.time, time.time_ns
+    time.time = lambda: right() + ahead
+    time.time_ns = lambda: right_ns() + int(ahead * 1e9)
+    clock.Clock.__init__.__defaults__ = (time.time_ns, time.monotonic_ns)
+
+
+def _batch_1(number: int, records: list[frames.Record]) -> tuple[bytes, list[int]]:
+    """A batch as the first format had it: a record does not say which place it replaces."""
+    parts, places, at = [], [], frames.FRAME.size
+    for each in records:
+        places.append(at)
+        parts.append(frames.RECORD_1.pack(len(each.payload), each.state, each.key) + each.payload)
+        at += len(parts[-1])
+    return frames.frame(frames.Kind.BATCH, number, b"".join(parts)), places
+
+
 async def _at_once(self: disk.Disk, ticket: int) -> bool:
     """The mutant's: it does not wait for the disk."""
     return True
--- a/frostfall/membership/members.py
+++ b/frostfall/membership/members.py
@@ -31,7 +31,7 @@
 
     incarnation: int = 0
     batch: int = 0  # the last that it had on disk
-    store: str = ""
+    token: str = ""  # random, made up when the life began
 
 
 @dataclass(slots=True)
@@ -63,7 +63,7 @@
         """Nobody has been heard yet."""
         self.own, self._rules = own, rules
         self.peers = {name: Peer(Life(), Life()) for name in names if name != own}
-        self.incarnation = 0  # one's own; 0 before it is on disk
+        self.incarnation, self.token = 0, ""  # one's own life; 0 before it is on disk
         self.must_exceed = 0  # a life that one's own has to be newer than
         self.replaced_by = 0  # a newer life of this very member, if one was heard of
         self.outdated = ""  # why one's own folder is older than what others saw
@@ -89,14 +89,15 @@
         """What was written down of a member in an earlier life."""
         if peer := self.peers.get(name):
             peer.kept = life
-            peer.life = Life(life.incarnation, life.batch, life.store)
+            peer.life = Life(life.incarnation, life.batch, life.token)
 
     def heard(self, name: str, life: Life, stage: str, clock_ahead: float, doubt: str) -> Answer | None:
         """A member spoke; None for a stranger."""
         peer = self.peers.get(name)
         if peer is None:
             return None
-        if life.incarnation < peer.life.incarnation:
+        if life.incarnation < peer.life.incarnation or (
+                life.incarnation == peer.life.incarnation and life.token != peer.life.token):
             if peer.health in (Health.UNHEARD, Health.AWAY):
                 peer.health = Health.OLD
             return Answer.REPLACED
@@ -118,10 +119,10 @@
         peer = self.peers.get(name)
         if peer is None or not kept.incarnation:
             return
-        if kept.incarnation == self.incarnation:
+        if kept.incarnation == self.incarnation and kept.token == self.token:
             peer.acknowledged = kept.incarnation
             return
-        if kept.incarnation > self.incarnation and self.incarnation:
+        if kept.incarnation >= self.incarnation > 0:
             # Danger: who has been acknowledged and then hears of a newer life is the old one of two
             # processes. Who has not been is a start whose folder lost some lives, and takes a higher number.
             if self.acknowledging > 1:
@@ -133,8 +134,8 @@
         if kept.incarnation > last.incarnation:
             self.outdated = (f"{name} knew life {kept.incarnation} of this member, "
                              f"its folder only {last.incarnation or 'none'}")
-        elif kept.incarnation == last.incarnation and kept.store != last.store:
-            self.outdated = f"{name} knew life {kept.incarnation} of this member with another folder"
+        elif kept.incarnation == last.incarnation and kept.token != last.token:
+            self.outdated = f"{name} knew another life {kept.incarnation} of this member"
         elif kept.incarnation == last.incarnation and kept.batch > last.batch:
             self.outdated = (f"{name} saw batch {kept.batch} on this member's disk, "
                              f"the folder ended with {last.batch}")
--- a/frostfall/net/recovery.py
+++ b/frostfall/net/recovery.py
@@ -5,8 +5,10 @@
 import random
 import time
 from collections.abc import Callable, Iterable
+from functools import partial
 from pathlib import Path
 from typing import Any, Protocol
+from uuid import uuid4
 
 import anyio
 import msgspec
@@ -16,7 +18,7 @@
 from frostfall import log
 from frostfall.config import Address, Config
 from frostfall.limits.attention import Attention
-from frostfall.membership.members import Answer, Life, Members
+from frostfall.membership.members import Answer, Health, Life, Members
 from frostfall.net import disk
 from frostfall.net.disk import Disk
 from frostfall.net.group import CALLERS_PART, Line, Listener, Told
@@ -160,7 +162,7 @@
                 self.facts.unsettled = len(self.ledger.lost) if ticket else 0
                 if ticket:
                     self.disk.when(ticket, self._settled)
-        self._last.batch, self._last.store = self.journal.on_disk, self.journal.store
+        self._last.batch = self.journal.on_disk
         self.facts.read = True
         if self._list:
             try:
@@ -186,10 +188,10 @@
 
     def _recall(self, data: bytes) -> None:
         match written.decode(data):
-            case written.Life(incarnation):
-                self._last.incarnation = max(self._last.incarnation, incarnation)
-            case Seen(member, incarnation, batch, store):
-                self.members.recall(member, Life(incarnation, batch, store))
+            case written.Life(incarnation, token):
+                self._last.incarnation, self._last.token = incarnation, token
+            case Seen(member, incarnation, batch, token):
+                self.members.recall(member, Life(incarnation, batch, token))
             case Doubt(why):
                 self.ledger.doubt = self.facts.doubt = why
             case GoneBack(build):
@@ -200,8 +202,10 @@
                 self._list = known
 
     def _facts(self) -> Iterable[Record]:
-        kept: list[Fact] = [written.Life(max(self.members.incarnation, self._last.incarnation))]
-        kept += [Seen(name, peer.kept.incarnation, peer.kept.batch, peer.kept.store)
+        own = (self.members.incarnation, self.members.token) if self.members.incarnation else (
+            self._last.incarnation, self._last.token)
+        kept: list[Fact] = [written.Life(*own)] if own[0] else []
+        kept += [Seen(name, peer.kept.incarnation, peer.kept.batch, peer.kept.token)
                  for name, peer in self.members.peers.items() if peer.kept.incarnation]
         if self.facts.doubt:
             kept.append(Doubt(self.facts.doubt))
@@ -222,10 +226,10 @@
         """Begin a life: its number is on disk before anybody is told."""
         number = self._last.incarnation
         while True:
-            number = max(number, self.members.must_exceed) + 1
-            if not await self.disk.durable(self._note(written.Life(number))):
+            number, token = max(number, self.members.must_exceed) + 1, uuid4().hex[:16]
+            if not await self.disk.durable(self._note(written.Life(number, token))):
                 return
-            self.members.incarnation = number
+            self.members.incarnation, self.members.token = number, token
             self.facts.identity = True
             self._touch()
             for line in self._lines.values():
@@ -300,24 +304,27 @@
             return None
         kept = self.members.peers[member].kept if member in self.members.peers else Life()
         waiting = self.gates.waited_for()
-        return Beat(self._name, self.members.incarnation, self.journal.on_disk, self.journal.store,
+        return Beat(self._name, self.members.incarnation, self.journal.on_disk, self.members.token,
                     time.time(), waiting[0].value if waiting else "", self.facts.doubt,
-                    (kept.incarnation, kept.batch, kept.store))
+                    (kept.incarnation, kept.batch, kept.token))
 
     def _heard(self, beat: Beat) -> None:
         # Danger: held against a folder that has not been read yet, what others know of it looks like more.
         if beat.name not in self.members.peers or not self.facts.read:
             return
         ahead = beat.wall - time.time()
-        life = Life(beat.incarnation, beat.batch, beat.store)
+        life = Life(beat.incarnation, beat.batch, beat.token)
         if abs(ahead) > CLOCK_APART and f"clock {beat.name}" not in self._noted:
             self._noted.add(f"clock {beat.name}")
             _log.warning("clocks differ", member=beat.name, ahead_s=round(ahead, 1))
+        before_health = self.members.peers[beat.name].health
         answer = self.members.heard(beat.name, life, beat.stage, ahead, beat.doubt)
+        if (health := self.members.peers[beat.name].health) is not before_health:
+            _log.info("member", member=beat.name, health=health.value, life=beat.incarnation)
         before = self.members.must_exceed
         self.members.told_of_me(beat.name, Life(*beat.kept), self._last)
         if answer is Answer.NEW_LIFE and self.disk.opened:
-            ticket = self._note(Seen(beat.name, life.incarnation, life.batch, life.store))
+            ticket = self._note(Seen(beat.name, life.incarnation, life.batch, life.token))
             self.disk.when(ticket, lambda good: self._wrote_down(beat.name, life) if good else None)
         elif answer is Answer.GOOD:
             # The batches of a life that is on disk go to the disk with the next segment.
@@ -363,7 +370,7 @@
         if what == "accept" and self.facts.doubt and self.disk.opened:
             _log.warning("operators accept the loss", who=who, doubt=self.facts.doubt)
             self.members.outdated = self.facts.doubt = self.ledger.doubt = ""
-            self._last = Life(self.members.incarnation, self.journal.on_disk, self.journal.store)
+            self._last = Life(self.members.incarnation, self.journal.on_disk, self.members.token)
             self._note(Doubt(""))
             self._noted.discard("majority")
         elif what in ("hold", "lift"):
@@ -561,16 +568,23 @@
             return found
 
         def told(member: str, word: Told | None) -> None:
+            if word is None and self.members.peers[member].health is not Health.AWAY:
+                lost.append(member)  # it may be on its way up
+                return
             missing.discard(member)
             if word is not None:
                 found[member] = operations.Told(Word(word[0]), word[1])
             if not missing or (word is not None and word[0] in ("open", "served", "failed")):
                 all_there.set()
 
-        for member in members:
-            self._lines[member].ask(name, lambda word, member=member: told(member, word))  # type: ignore
+        lost = list(members)
         with anyio.move_on_after(within):
-            await all_there.wait()
+            while not all_there.is_set():
+                again, lost = lost, []
+                for member in again:
+                    self._lines[member].ask(name, partial(told, member))
+                with anyio.move_on_after(POLL if lost else None):
+                    await all_there.wait()
         return found
 
     def attempted(self, request: str, ending: Ending) -> None:
--- a/frostfall/protocol/group.py
+++ b/frostfall/protocol/group.py
@@ -27,11 +27,11 @@
     name: str
     incarnation: int
     batch: int
-    store: str
+    token: str  # of the sender's life
     wall: float  # seconds of Unix time by its clock
     stage: str
     doubt: str
-    kept: tuple[int, int, str]  # incarnation, batch and store of the receiver, as it wrote them down
+    kept: tuple[int, int, str]  # incarnation, batch and token of the receiver, as written down
     number: int = 0  # of the question, 0 in what is no question
 
 
--- a/frostfall/recovery/facts.py
+++ b/frostfall/recovery/facts.py
@@ -12,6 +12,7 @@
     """The owner began a life with this incarnation number; on disk before anybody is told."""
 
     incarnation: int
+    token: str  # random: a folder that is an older copy begins a life with the same number again
 
 
 class Seen(msgspec.Struct, frozen=True, tag="seen", array_like=True):
@@ -20,7 +21,7 @@
     member: str
     incarnation: int
     batch: int
-    store: str
+    token: str
 
 
 class Doubt(msgspec.Struct, frozen=True, tag="doubt", array_like=True):
--- a/frostfall/storage/frames.py
+++ b/frostfall/storage/frames.py
@@ -28,6 +28,7 @@
 FRAME = struct.Struct("<2sIBQI")
 RECORD = struct.Struct("<IBQQ")
 _SUMMED = struct.Struct("<BQ")
+ANY = 1  # for an old place, in format 1: whichever the key has; no place in a log is this number
 PAYLOAD_MOST = 1 << 26  # bytes: more in one frame is no frame of ours
 
 
@@ -207,7 +208,7 @@
     unpack, size = shape.unpack_from, shape.size
     while at < len(payload):
         length, state, key, *old = unpack(payload, at)
-        apply(state, key, old[0] if old else 0, base + at, payload[at + size:at + size + length])
+        apply(state, key, old[0] if old else ANY, base + at, payload[at + size:at + size + length])
         at += size + length
         count += 1
     return count
--- a/frostfall/storage/journal.py
+++ b/frostfall/storage/journal.py
@@ -255,6 +255,8 @@
 
 def _settle(index: Index, state: State, key: int, old: int, place: int) -> None:
     """Put a record's place into the index, in the stead of its key's old one."""
+    if old == frames.ANY:
+        old = next(iter(index.get(key)), 0)
     if state == State.NEVER:
         if old:
             index.drop(key, old)
--- /dev/null
+++ b/tests/test_power_loss.py
@@ -0,0 +1,286 @@
+"""Three agents as processes, with faults between them: what a power loss and a bad disk may not do.
+
+Tests wait for events of the history, never for a time to pass, and end with the checker's word on all of it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from frostfall.bench.check import Findings, check
+from frostfall.bench.cluster import Cluster
+
+
+@contextmanager
+def running(folder: Path, load: float = 0.0, clean: bool = True, **more: Any) -> Iterator[Cluster]:
+    """A cluster whose agents take unsafe work, with so many operations a second; checked at the end."""
+    cluster = Cluster(folder, **{"agents": 3, "servers": 2, **more})
+    try:
+        cluster.open()
+        cluster.start()
+        cluster.gate("unsafe")
+        cluster.crowd(rate=load)
+        yield cluster
+        cluster.quiet()
+    finally:
+        cluster.close()
+        cluster.history.write(folder / "history.jsonl")
+    found = check(cluster.history)
+    assert not clean or found.clean, found
+
+
+def ran(cluster: Cluster, operation: str) -> int:
+    return sum(event["op"] == operation for event in cluster.history.of("ran"))
+
+
+def restart(cluster: Cluster, *names: str) -> None:
+    """Start these, or all, and wait until unsafe work is taken again."""
+    since = cluster.now
+    cluster.start(*names)
+    cluster.gate("unsafe", *names, since=since)
+
+
+def test_all_lose_power_before_the_intents_sync_and_the_operation_may_still_run_once(tmp_path: Path) -> None:
+    with running(tmp_path, load=40) as cluster:
+        cluster.faults("n0", hold="before sync")
+        cluster.ask("n0", "early")
+        cluster.wait("held", who="n0", where="before sync")
+        cluster.kill()
+        cluster.faults()
+        restart(cluster)
+        assert ran(cluster, "early") == 0
+        assert cluster.told("n1", "early", 2) == "served"
+        assert ran(cluster, "early") == 1
+
+
+def test_all_lose_power_between_sync_and_write_and_it_counts_as_run_for_ever(tmp_path: Path) -> None:
+    with running(tmp_path, load=40) as cluster:
+        cluster.faults("n0", hold="after sync")
+        cluster.ask("n0", "late")
+        cluster.wait("held", who="n0", where="after sync")
+        cluster.kill()
+        cluster.faults()
+        restart(cluster)
+        for tries, name in enumerate(cluster.names, 2):
+            assert cluster.told(name, "late", tries) == "failed"
+        cluster.kill()  # and again: an intent without an end stays what it is
+        restart(cluster)
+        assert cluster.told("n1", "late", 5) == "failed"
+        assert ran(cluster, "late") == 0
+
+
+def test_all_lose_power_before_the_outcome_during_recovery_and_a_compaction(tmp_path: Path) -> None:
+    with running(tmp_path) as cluster:
+        cluster.servers(hold=["order"])
+        for name in cluster.names:
+            cluster.ask(name, f"out-{name}")
+        cluster.wait("ran", 3)
+        cluster.kill()
+        cluster.servers(let_go=True, restart=True)
+        since = cluster.now
+        cluster.start()
+        cluster.wait("record read", since=since)
+        cluster.kill()
+        cluster.faults(hold="compaction")
+        since = cluster.now
+        cluster.start()
+        for name in cluster.names:
+            cluster.wait("held", since=since, who=name, where="compaction")
+        cluster.kill()
+        cluster.faults()
+        restart(cluster)
+        for name in cluster.names:
+            for other in cluster.names:
+                assert cluster.told(other, f"out-{name}", 2 + cluster.names.index(other)) == "failed"
+            assert ran(cluster, f"out-{name}") == 1
+        assert cluster.told("n0", "fresh") == "served"
+
+
+def test_an_answer_that_was_given_is_given_again_here_and_elsewhere(tmp_path: Path) -> None:
+    with running(tmp_path) as cluster:
+        assert cluster.told("n0", "once") == "served"
+        cluster.kill()
+        restart(cluster)
+        for tries, name in enumerate(cluster.names, 2):
+            assert cluster.told(name, "once", tries) == "served"
+        assert ran(cluster, "once") == 1
+
+
+def test_one_that_never_returns_holds_nobody_up_and_what_it_alone_knew_is_not_guessed(tmp_path: Path) -> None:
+    with running(tmp_path) as cluster:
+        assert cluster.told("n2", "hidden") == "served"
+        cluster.kill()
+        restart(cluster, "n0", "n1")
+        assert cluster.told("n0", "fresh") == "served"
+        assert cluster.told("n0", "hidden", 2) == "failed"
+        assert cluster.told("n1", "unheard-of", 2) == "failed"
+        since = cluster.now
+        restart(cluster, "n2")
+        cluster.wait("member", who="n0", member="n2", health="here", since=since)
+        assert cluster.told("n0", "hidden", 3) == "served"
+        assert ran(cluster, "hidden") == 1
+
+
+@pytest.mark.parametrize("loss", ["empty", "old", "swapped"])
+def test_a_folder_that_is_lost_old_or_anothers_proves_nothing(tmp_path: Path, loss: str) -> None:
+    with running(tmp_path) as cluster:
+        cluster.kill()
+        cluster.save("n1")
+        restart(cluster)
+        assert cluster.told("n1", "kept") == "served"
+        cluster.kill()
+        if loss == "empty":
+            cluster.lose("n1")
+        elif loss == "old":
+            cluster.restore("n1")
+        else:
+            cluster.swap("n1", "n2")
+        since = cluster.now
+        cluster.start()
+        if loss == "swapped":
+            for name in ("n1", "n2"):
+                cluster.gate("unsafe", name, stand="shut", since=since)
+            assert cluster.wait("record read", since=since, who="n1")["condition"] == "foreign"
+            assert cluster.told("n1", "kept", 2) == "failed"
+            assert cluster.told("n0", "kept", 3) == "failed"
+        else:
+            cluster.gate("unsafe", since=since)
+            cluster.wait("the folder is lost, swapped or old: it proves nothing", since=since, who="n1")
+            assert cluster.told("n1", "kept", 2) == "failed"
+            assert cluster.told("n0", "kept", 3) == "failed"
+            assert cluster.told("n1", "first-try") == "served"
+        assert ran(cluster, "kept") == 1
+
+
+def test_torn_tails_are_cut_off_and_a_flipped_bit_shuts_unsafe_work_and_says_where(tmp_path: Path) -> None:
+    with running(tmp_path) as cluster:
+        for number in range(8):
+            assert cluster.told("n0", f"x{number}") == "served"
+        cluster.kill()
+        cluster.flip("n0", 0.4)
+        (cluster.segments("n1")[-1]).open("ab").write(b"\xf5\x1e half a frame")
+        since = cluster.now
+        cluster.start()
+        cluster.gate("unsafe", "n1", "n2", since=since)
+        cluster.gate("unsafe", "n0", since=since, stand="shut")
+        why = cluster.wait("the record cannot be used: no unsafe work is taken", since=since, who="n0")["why"]
+        assert why.startswith("damaged: segment 1")
+        assert cluster.wait("record read", since=since, who="n1")["torn_bytes"]
+        assert cluster.told("n0", "new") == "refused"
+        assert cluster.told("n0", "x7", 2) in ("served", "failed")
+        assert cluster.told("n1", "x7", 3) in ("served", "failed")
+        assert cluster.told("n1", "newer") == "served"
+
+
+@pytest.mark.parametrize("fault", [{"fail": 1}, {"full": True}])
+def test_a_failing_or_full_disk_stops_unsafe_work_there_alone(tmp_path: Path, fault: dict[str, Any]) -> None:
+    with running(tmp_path) as cluster:
+        assert cluster.told("n0", "before") == "served"
+        cluster.faults("n0", **fault)
+        assert cluster.told("n0", "at-it") in ("refused", "failed")
+        cluster.wait("write failed: no unsafe work is taken until a restart", who="n0")
+        cluster.gate("unsafe", "n0", stand="shut")
+        assert cluster.told("n0", "after") == "refused"
+        assert cluster.told("n0", "before", 2) == "served"
+        assert cluster.told("n1", "after", 2) == "served"
+        assert ran(cluster, "at-it") == 0
+        cluster.kill("n0")
+        cluster.faults("n0")
+        restart(cluster, "n0")
+        assert cluster.told("n0", "and-on") == "served"
+
+
+def test_a_mutant_that_does_not_wait_for_the_sync_is_caught(tmp_path: Path) -> None:
+    caught = Findings()
+    for _ in range(4):
+        with running(tmp_path / str(_), clean=False) as cluster:
+            cluster.kill()
+            since = cluster.now
+            cluster.start(mutant="intent not synced")
+            cluster.gate("unsafe", since=since)
+            cluster.faults("n0", hold="before sync")
+            cluster.ask("n0", "unsynced")
+            cluster.wait("held", who="n0", since=since)
+            cluster.wait("ran", op="unsynced")
+            cluster.kill()
+            cluster.faults()
+            restart(cluster)
+            cluster.told("n1", "unsynced", 2)
+        caught.add(check(cluster.history))
+        if caught.twice:
+            return
+    raise AssertionError(caught)
+
+
+def test_discovery_and_platform_are_dark_and_the_list_from_before_is_wrong(tmp_path: Path) -> None:
+    with running(tmp_path, waits={"list": 1.0}) as cluster:
+        assert cluster.told("n0", "before") == "served"
+        cluster.link("*>discovery", cut=["forth", "back"])
+        cluster.link("*>platform", cut=["forth", "back"])
+        cluster.kill()
+        cluster.link("n0>s-0", cut=["forth", "back"])  # a server of its list is gone
+        since = cluster.now
+        cluster.start()
+        cluster.gate("list", since=since, stand="past its limit")
+        cluster.gate("unsafe", since=since)
+        assert cluster.told("n1", "in-the-dark") == "served"
+        assert cluster.told("n0", "before", 2) == "served"
+        cluster.link("*", cut=[])
+        cluster.gate("list", since=since)
+
+
+def test_links_up_one_way_only_while_all_start_and_clocks_apart(tmp_path: Path) -> None:
+    with running(tmp_path, load=30) as cluster:
+        cluster.kill()
+        cluster.link("n0>n1", cut=["forth"])
+        cluster.link("n1>n2", cut=["back"])
+        since = cluster.now
+        for name, ahead in zip(cluster.names, (0.0, 300.0, -240.0)):
+            cluster.start(name, clock_ahead=ahead)
+        cluster.gate("unsafe", since=since)
+        cluster.wait("clocks differ", since=since)
+        assert cluster.told("n0", "one-way") == "served"
+        assert cluster.told("n1", "one-way", 2) in ("served", "failed")
+        cluster.link("*", cut=[])
+        assert ran(cluster, "one-way") == 1
+
+
+def test_a_member_paused_through_everybodys_recovery_wakes_with_requests_due(tmp_path: Path) -> None:
+    with running(tmp_path, load=30) as cluster:
+        cluster.pause("n2")
+        cluster.ask("n2", "asleep")
+        cluster.wait("asked", op="asleep")
+        cluster.kill("n0", "n1")
+        restart(cluster, "n0", "n1")
+        assert cluster.told("n0", "asleep", 2) == "failed"  # nobody can know what the sleeper did
+        cluster.wake("n2")
+        cluster.wait("answered", id="asleep-t1")
+        assert ran(cluster, "asleep") <= 1
+        assert cluster.told("n1", "awake") == "served"
+
+
+def test_a_roll_from_the_older_format_and_an_old_version_on_a_new_folder(tmp_path: Path) -> None:
+    with running(tmp_path, load=30) as cluster:
+        cluster.kill()
+        for name in cluster.names:
+            cluster.lose(name)
+        since = cluster.now
+        cluster.start(format_1=True)
+        cluster.gate("unsafe", since=since)
+        assert cluster.told("n0", "old-side") == "served"
+        for name in cluster.names:
+            cluster.kill(name)
+            restart(cluster, name)
+        assert cluster.told("n0", "old-side", 2) == "served"
+        assert cluster.told("n2", "old-side", 3) == "served"
+        cluster.kill("n0")
+        since = cluster.now
+        cluster.start("n0", format_1=True)
+        cluster.gate("unsafe", "n0", since=since, stand="shut")
+        why = cluster.wait("the record cannot be used: no unsafe work is taken", since=since, who="n0")["why"]
+        assert "format 2, and this version reads up to 1" in why
