--- a/frostfall/bench/cluster.py
+++ b/frostfall/bench/cluster.py
@@ -13,7 +13,7 @@
 import threading
 from fnmatch import fnmatchcase
 from pathlib import Path
-from time import monotonic
+from time import monotonic, time
 from typing import Any
 
 import msgspec
@@ -98,7 +98,7 @@
         self.folder, self.seed, self.history = folder, seed, History()
         self.names = [f"n{place}" for place in range(agents)]
         self._checkout, self._held, self._grouped, self._zones = checkout, held, group, zones
-        self._changes = {"retries_marked": True, "operation": "op", **changes}
+        self._changes = {"retries_marked": True, "operation": "op", "new": True, **changes}
         self._fleet, self._crowd = fleet or {}, {"rate": 60.0, "unsafe": 0.5, **(crowd or {})}
         self.agents: dict[str, Process] = {}
         self.actors: dict[str, Process] = {}
@@ -141,6 +141,12 @@
         return {"instanceId": server, "hostPort": self.links[f"{agent}>{server}"], "zone": "a",
                 "cell": 0, "lifecycle": "in_service", "weight": 1.0, "startedAtMs": 0, "build": 41}
 
+    def configure(self, **changes: Any) -> None:
+        """Change the section `group` for the next start of each agent."""
+        self._changes |= changes
+        for name in self.names:
+            self._configure(name)
+
     def _configure(self, name: str) -> None:
         home = self.folder / name
         home.mkdir(parents=True, exist_ok=True)
@@ -238,6 +244,16 @@
         for each in chosen:
             each.end()
 
+    def power_loss(self) -> None:
+        """All agents and servers lose power at once; servers are back at once, cold, and the list says so."""
+        self.kill()
+        self.servers(restart=True)
+        started = int(time() * 1000)
+        for view in self.views.values():
+            for each in view:
+                each["startedAtMs"] = started
+        self.actors["discovery"].tell(views=self.views)
+
     def pause(self, *names: str) -> None:
         """Stop agents where they are."""
         for name in names:
--- /dev/null
+++ b/frostfall/bench/schedules.py
@@ -0,0 +1,66 @@
+"""Schedules of faults in virtual time: judged by the checker of histories, shrunk where they fail."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+import structlog
+
+from frostfall.bench.check import check
+from frostfall.bench.history import History
+from frostfall.model.power import Schedule, drawn, play
+
+
+def judge(schedule: Schedule) -> list[str]:
+    """Play a schedule; what was found, each as one line, nothing where all is well."""
+    events = play(schedule)
+    found = check(History(events))
+    stuck = [f"{event['who']} is stuck: {event['why']}" for event in events if event["event"] == "stuck"]
+    return [*found.twice, *found.answers, *found.promises, *found.rules, *stuck]
+
+
+def judge_seed(seed: int) -> tuple[int, list[str], int]:
+    """The same for a seed, without log lines; and how many operations ran."""
+    structlog.configure(logger_factory=structlog.ReturnLoggerFactory(),
+                        wrapper_class=structlog.make_filtering_bound_logger(50))
+    schedule = drawn(seed)
+    try:
+        return seed, judge(schedule), len(schedule.operations)
+    except Exception as error:
+        return seed, [f"failed: {error!r}"], 0
+
+
+def _fails(schedule: Schedule) -> bool:
+    return bool(judge(schedule))
+
+
+def shrink(schedule: Schedule, fails: Callable[[Schedule], bool] = _fails) -> Schedule:
+    """A part of a failing schedule that still fails and of which nothing more can be left out.
+
+    Leaves out halves first, then single items, until that no longer helps (after Zeller's ddmin, 2002).
+    """
+    for part in ("faults", "operations"):
+        items = list(getattr(schedule, part))
+        size = max(len(items) // 2, 1)
+        while items and size:
+            at = 0
+            while at < len(items):
+                rest = items[:at] + items[at + size:]
+                smaller = msgspec.structs.replace(schedule, **{part: tuple(rest)})
+                if fails(smaller):
+                    items, schedule = rest, smaller
+                else:
+                    at += size
+            size //= 2
+    return schedule
+
+
+def script(schedule: Schedule) -> str:
+    """A schedule as a text that `read` takes again."""
+    return msgspec.json.format(msgspec.json.encode(schedule), indent=1).decode()
+
+
+def read(text: bytes) -> Schedule:
+    """A schedule from a text; msgspec.ValidationError names the key that cannot be used."""
+    return msgspec.json.decode(text, type=Schedule)
--- a/frostfall/membership/members.py
+++ b/frostfall/membership/members.py
@@ -110,11 +110,11 @@
             peer.life = life
         return Answer.NEW_LIFE if peer.kept.incarnation < life.incarnation else Answer.GOOD
 
-    def told_of_me(self, name: str, kept: Life, last: Life) -> None:
-        """A member says what it has on disk of this one; `last`: what one's own folder said at the start.
+    def told_of_me(self, name: str, kept: Life, live: bool, last: Life) -> None:
+        """A member says what it has on disk of this one, and whether it hears that life.
 
-        A life that others know and that this folder does not is one that the folder has lost: it is lost,
-        swapped or an older copy. The same is told to a life that a newer one has replaced.
+        `last` is what one's own folder said at the start. A life that others know and that the folder does
+        not is one that it has lost: it is lost, swapped or an older copy.
         """
         peer = self.peers.get(name)
         if peer is None or not kept.incarnation:
@@ -123,9 +123,9 @@
             peer.acknowledged = kept.incarnation
             return
         if kept.incarnation >= self.incarnation > 0:
-            # Danger: who has been acknowledged and then hears of a newer life is the old one of two
-            # processes. Who has not been is a start whose folder lost some lives, and takes a higher number.
-            if self.acknowledging > 1:
+            # Danger: who has served and then hears of a newer life that is there is the old one of two
+            # processes, and stops. Who only starts, or hears of a life that is over, takes a higher number.
+            if live and kept.incarnation > self.incarnation and self.acknowledging >= self.majority:
                 self.replaced_by = max(self.replaced_by, kept.incarnation)
             else:
                 self.must_exceed = max(self.must_exceed, kept.incarnation)
--- a/frostfall/net/disk.py
+++ b/frostfall/net/disk.py
@@ -7,9 +7,10 @@
 import os
 import re
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from pathlib import Path
 from time import monotonic
+from typing import Any
 from uuid import uuid4
 
 import anyio
@@ -133,9 +134,10 @@
 class Disk:
     """A journal on a folder."""
 
-    def __init__(self, where: Folder, journal: Journal, steady: Callable[[], float] = monotonic) -> None:
-        """Nothing is read or written before `open`."""
-        self.folder, self.journal = where, journal
+    def __init__(self, where: Folder, journal: Journal, steady: Callable[[], float] = monotonic,
+                 blocking: Callable[..., Awaitable[Any]] = run_sync) -> None:
+        """Nothing is read or written before `open`; `blocking` calls what blocks, in a thread."""
+        self.folder, self.journal, self._blocking = where, journal, blocking
         self._steady, self._started = steady, steady()
         self._waiters: deque[tuple[int, Callable[[bool], None]]] = deque()  # by ticket, which only grows
         self._wake = anyio.Event()
@@ -158,7 +160,7 @@
                 yield number, self.folder.load(number)
 
         try:
-            await run_sync(read)
+            await self._blocking(read)
         except OSError as error:
             self.journal.fault = str(error)
             raise
@@ -220,7 +222,7 @@
                 await self._wake.wait()
                 continue
             try:
-                await run_sync(carry_out, self.folder, write)
+                await self._blocking(carry_out, self.folder, write)
             except OSError as error:
                 self.journal.failed(f"segment {write.segment}: {error.strerror or error}")
                 _log.error("write failed: no unsafe work is taken until a restart", why=self.journal.fault)
--- a/frostfall/net/recovery.py
+++ b/frostfall/net/recovery.py
@@ -4,7 +4,8 @@
 
 import random
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
 from typing import Any, Protocol
@@ -13,6 +14,7 @@
 import anyio
 import msgspec
 from anyio.abc import TaskGroup
+from anyio.to_thread import run_sync
 
 from frostfall import interface as api
 from frostfall import log
@@ -33,16 +35,17 @@
 from frostfall.recovery import ledger as operations
 from frostfall.recovery.facts import Doubt, Fact, GoneBack, Hold, KnownList, Seen
 from frostfall.recovery.gates import Facts, Gate, Gates, Stand
-from frostfall.recovery.ledger import Ledger, Way, Word
+from frostfall.recovery.ledger import Ledger, Operation, Way, Word
 from frostfall.recovery.rules import Group
 from frostfall.storage import frames
 from frostfall.storage.frames import Record, State
-from frostfall.storage.journal import Journal
+from frostfall.storage.journal import Condition, Journal
 
 EARLY = 10_000  # microseconds before its deadline at which a try that waits is given up
 POLL = 0.05  # seconds between two questions about an operation that is under way elsewhere
 COME_AGAIN = 500  # milliseconds after which, half as much more at most, who is refused comes again
 CLOCK_APART = 5.0  # seconds between two clocks that are worth a line
+NOTE_EVERY = 25  # turns after which it is written down how far the others' records have come
 PAUSE_MOST = 3  # turns: a longer gap has been slept through
 
 _log = log.get("recovery")
@@ -70,6 +73,18 @@
         """Stop in order."""
 
 
+@dataclass(frozen=True, slots=True)
+class Parts:
+    """What a record and a link are made of; models put others in their place."""
+
+    folder: Callable[[Path], disk.Folder] = lambda path: disk.folder(path)
+    line: Callable[..., Line] = Line
+    listener: Callable[..., Listener] = Listener
+    blocking: Callable[..., Awaitable[Any]] = run_sync
+    wall: Callable[[], float] = lambda: time.time()
+    steady: Callable[[], float] = time.monotonic
+
+
 class _Try:
     """A client's try that waits for the end of an operation."""
 
@@ -84,10 +99,17 @@
             self.client.answer(answer)
 
 
+def _ended(words: dict[str, operations.Told]) -> operations.Told | None:
+    """The word of a member that knows how an operation ended, one with an answer before others."""
+    known = [told for told in words.values() if told.word in (Word.SERVED, Word.FAILED)]
+    return max(known, key=lambda told: told.word is Word.SERVED, default=None)
+
+
 class Recovery:
     """One agent's record, group and gates."""
 
-    def __init__(self, config: Config, front: Front, clock: Callable[[], int]) -> None:
+    def __init__(self, config: Config, front: Front, clock: Callable[[], int],
+                 parts: Parts | None = None) -> None:
         """Prepare; nothing is read before `run`. `clock` gives microseconds, as deadlines count them."""
         rules = config.options.group
         assert isinstance(rules, Group)
@@ -95,7 +117,9 @@
         self._effects = {kind.name: kind.effect for kind in config.settings.classes}
         self._random = random.Random(config.seed ^ 0x5EED)
         self.journal = Journal(config.name, rules.store, self._facts)
-        self.disk = Disk(disk.folder(Path(rules.data)), self.journal)
+        self._parts = parts = parts or Parts()
+        self._wall, self._steady = parts.wall, parts.steady
+        self.disk = Disk(parts.folder(Path(rules.data)), self.journal, parts.steady, parts.blocking)
         self.ledger = Ledger(self.journal, self.disk.find, rules.retries_marked, rules.store.answer_bytes)
         self.members = Members(config.name, tuple(member.name for member in rules.members), rules.turns)
         self.gates = Gates(len(rules.members), rules.retries_marked, rules.waits)
@@ -104,13 +128,10 @@
         self._gone_back = 0
         self._list: KnownList | None = None
         self._news: api.RolloutNews | None = None
-        self._operations: dict[str, str] = {}  # by request
-        self._may_have_run: set[str] = set()  # operations whose client left while an attempt was out
-        self._tries: dict[str, list[_Try]] = {}  # by operation, further ones
+        self._operations: dict[str, Operation] = {}  # by request
         self._lines: dict[str, Line] = {}
         self._group: TaskGroup | None = None
         self._changed = anyio.Event()
-        self._steady = time.monotonic
         self._began = self._steady()
         window = config.settings.rollout.window if config.settings.rollout else 0
         self._window = window / 1e6
@@ -118,6 +139,7 @@
         self._entries: dict[str, Any] = {}  # the list as it is, by instance
         self._generation, self._list_dirty = 0, False
         self._noted: set[str] = set()
+        self._noted_batches: dict[str, tuple[int, str]] = {}  # by member
 
     # ---- the start, and what goes on beside requests -----------------------------------------------
 
@@ -135,8 +157,8 @@
                 for member in self.rules.members:
                     if member.name != self._name:
                         host, _, port = member.address.rpartition(":")
-                        line = Line(member.name, Address(host.strip("[]"), int(port)), self.rules.key,
-                                    self.rules.turns.every, self._beat, self._heard)
+                        line = self._parts.line(member.name, Address(host.strip("[]"), int(port)),
+                                            self.rules.key, self.rules.turns.every, self._beat, self._heard)
                         self._lines[member.name] = line
                         group.start_soon(line.run)
                 group.start_soon(self._turns)
@@ -163,11 +185,16 @@
                 if ticket:
                     self.disk.when(ticket, self._settled)
         self._last.batch = self.journal.on_disk
+        if self.journal.condition is Condition.FRESH and not self.rules.new and not self.facts.unusable:
+            # Danger: with all folders lost at once, nobody is left to tell a lost one from a first start.
+            self.facts.doubt = self.ledger.doubt = "there was no record: a first start, or a lost folder"
+            self._note(Doubt(self.facts.doubt))
+            _log.warning("no record: operators have to accept that, or to set `new` in the group's section")
         self.facts.read = True
         if self._list:
             try:
                 self._relist(msgspec.convert(self._list.listing, Listing))
-                _log.info("remembered list", age_s=round(time.time() - self._list.at, 1))
+                _log.info("remembered list", age_s=round(self._wall() - self._list.at, 1))
             except msgspec.ValidationError as error:
                 _log.warning("remembered list cannot be read", why=str(error))
         _log.info("record read", condition=self.journal.condition.value, segments=self.journal.segments,
@@ -241,7 +268,8 @@
     async def _listen(self) -> None:
         own = next(member for member in self.rules.members if member.name == self._name)
         host, _, port = (self.rules.listen or own.address).rpartition(":")
-        listener = Listener(self.rules.key, CALLERS_PART * len(self.rules.members) + 4, self._answer)
+        most = CALLERS_PART * len(self.rules.members) + 4
+        listener = self._parts.listener(self.rules.key, most, self._answer)
         while True:
             try:
                 await listener.run(Address(host.strip("[]"), int(port)))
@@ -251,13 +279,15 @@
 
     async def _turns(self) -> None:
         every = self.rules.turns.every
-        attention = Attention(every, every * PAUSE_MOST)
+        attention, turn = Attention(every, every * PAUSE_MOST), 0
         while True:
             attention.turn(self._steady())
             if not attention.paused:
                 for name, health in self.members.turn():
                     _log.warning("member", member=name, health=health.value)
             self._note_list()
+            if (turn := turn + 1) % NOTE_EVERY == 0:
+                self._note_batches()
             self._touch()
             await anyio.sleep(every)
 
@@ -302,17 +332,19 @@
     def _beat(self, member: str) -> Beat | None:
         if not self.members.incarnation or not self.facts.identity:
             return None
-        kept = self.members.peers[member].kept if member in self.members.peers else Life()
+        peer = self.members.peers.get(member)
+        kept = peer.kept if peer else Life()
         waiting = self.gates.waited_for()
         return Beat(self._name, self.members.incarnation, self.journal.on_disk, self.members.token,
-                    time.time(), waiting[0].value if waiting else "", self.facts.doubt,
-                    (kept.incarnation, kept.batch, kept.token))
+                    self._wall(), waiting[0].value if waiting else "", self.facts.doubt,
+                    (kept.incarnation, kept.batch, kept.token),
+                    peer is not None and peer.health is Health.HERE)
 
     def _heard(self, beat: Beat) -> None:
         # Danger: held against a folder that has not been read yet, what others know of it looks like more.
         if beat.name not in self.members.peers or not self.facts.read:
             return
-        ahead = beat.wall - time.time()
+        ahead = beat.wall - self._wall()
         life = Life(beat.incarnation, beat.batch, beat.token)
         if abs(ahead) > CLOCK_APART and f"clock {beat.name}" not in self._noted:
             self._noted.add(f"clock {beat.name}")
@@ -322,7 +354,7 @@
         if (health := self.members.peers[beat.name].health) is not before_health:
             _log.info("member", member=beat.name, health=health.value, life=beat.incarnation)
         before = self.members.must_exceed
-        self.members.told_of_me(beat.name, Life(*beat.kept), self._last)
+        self.members.told_of_me(beat.name, Life(*beat.kept), beat.live, self._last)
         if answer is Answer.NEW_LIFE and self.disk.opened:
             ticket = self._note(Seen(beat.name, life.incarnation, life.batch, life.token))
             self.disk.when(ticket, lambda good: self._wrote_down(beat.name, life) if good else None)
@@ -414,12 +446,19 @@
         self._generation, self._list_dirty = listing.generation, True
         self._touch()
 
+    def _note_batches(self) -> None:
+        """Write down how far the others' records have come, so that an older copy of one is noticed."""
+        for name, peer in self.members.peers.items():
+            if (peer.kept.batch, peer.kept.token) != self._noted_batches.get(name) and peer.kept.incarnation:
+                self._noted_batches[name] = peer.kept.batch, peer.kept.token
+                self._note(Seen(name, peer.kept.incarnation, peer.kept.batch, peer.kept.token))
+
     def _note_list(self) -> None:
         """Write the list down, if it has changed: once a turn at most."""
         if self._list_dirty and not self.journal.fault:
             self._list_dirty = False
             whole = Listing(self._generation, True, list(self._entries.values()))
-            self._list = KnownList(time.time(), msgspec.to_builtins(whole))
+            self._list = KnownList(self._wall(), msgspec.to_builtins(whole))
             self._note(self._list)
 
     def news(self, event: api.RolloutNews) -> None:
@@ -462,15 +501,16 @@
         if way is Way.TOLD and told:
             client.answer(self._told(told))
         elif way is Way.AGAIN:
-            client.answer(self._come_again())
+            # Danger: it never ran here, but an earlier try may have run elsewhere.
+            client.answer(failed() if again else self._come_again())
         elif way is Way.JOIN:
             self._join(name, client, statement.request, deadline)
         elif self.gates.open(Gate.UNSAFE):
-            self._operations[statement.request] = name
+            self._operations[statement.request] = self.ledger.live[name]
             return False
         else:
             if sure:
-                self.ledger.end(name, State.NEVER)
+                self.ledger.end(self.ledger.live[name], State.NEVER)
             # Danger: an earlier try may have run, so that to call another one harmless could be a lie.
             client.answer(failed() if again else self._come_again())
         return True
@@ -494,13 +534,13 @@
         return refused(int(COME_AGAIN * self._random.uniform(1.0, 1.5)))
 
     def _join(self, name: str, client: Waiting, request: str, deadline: int) -> None:
-        one = _Try(client, request)
-        self._tries.setdefault(name, []).append(one)
+        one, operation = _Try(client, request), self.ledger.live[name]
+        operation.waiting.append(one)
 
         async def expire() -> None:
             await anyio.sleep(max(deadline - EARLY - self._clock(), 0) / 1e6)
-            if one in self._tries.get(name, []):
-                self._tries[name].remove(one)
+            if one in operation.waiting:
+                operation.waiting.remove(one)
                 one.tell(failed())
 
         if self._group:
@@ -511,53 +551,51 @@
 
         True is returned without giving others a turn after the last check.
         """
-        name = self._operations.get(request)
-        if name is None:
-            return True
-        operation = self.ledger.live.get(name)
+        operation = self._operations.get(request)
         if operation is None:
+            return True
+        if not self.ledger.under_way(operation):
             return False
-        ticket = self.ledger.intend(name)
+        ticket = self.ledger.intend(operation)
         self.disk.poke()
         if not await self.disk.durable(ticket):
-            self._give_up(request, name)
+            sure = operation.cleared or not operation.ask
+            self._front.conclude(request, self._come_again() if sure else failed(),
+                                 Final.REFUSED if sure else Final.FAILED)
             return False
-        if operation.ask and not operation.cleared and not await self._ask(request, name, deadline):
+        if operation.ask and not operation.cleared and not await self._ask(request, operation, deadline):
             return False
-        return not over() and self.ledger.may_write(name)
-
-    def _give_up(self, request: str, name: str) -> None:
-        operation = self.ledger.live.get(name)
-        sure = operation is not None and (operation.cleared or not operation.ask)
-        self._front.conclude(request, self._come_again() if sure else failed(),
-                             Final.REFUSED if sure else Final.FAILED)
+        # Danger: noted after the write, a disk that fails meanwhile would make it look as if there was none.
+        let = not over() and self.ledger.under_way(operation) and self.ledger.may_write(operation)
+        operation.written = operation.written or let
+        return let
 
-    async def _ask(self, request: str, name: str, deadline: int) -> bool:
+    async def _ask(self, request: str, operation: Operation, deadline: int) -> bool:
         """Ask all others; whether nobody can have run it. Else the request has its answer, or will have."""
-        others = list(self._lines)
-        self.ledger.ask(name, others)
+        others, name = list(self._lines), operation.name
+        self.ledger.ask(operation, others)
         within = min(self.rules.waits.ask, max(deadline - EARLY - self._clock(), 0) / 1e6)
         words = await self._words(name, others, within)
         for member, told in words.items():
-            self.ledger.answered(name, member, told)
-        operation = self.ledger.live.get(name)
-        if operation is None or operation.ended is not None:
+            self.ledger.answered(operation, member, told)
+        if not self.ledger.under_way(operation):
             return False
         if operation.cleared:
             return True
-        known = next((told for told in words.values() if told.word in (Word.SERVED, Word.FAILED)), None)
+        known = _ended(words)
         under_way = [member for member, told in words.items() if told.word is Word.OPEN]
         if known is None and under_way:
             # Both have their intents down: this one steps back, and tells what becomes of the other.
-            self._end(name, State.NEVER)
-            while known is None and self._clock() < deadline - EARLY - POLL * 1e6:
+            self._end(operation, State.NEVER)
+            while known is None and under_way and self._clock() < deadline - EARLY - POLL * 1e6:
                 await anyio.sleep(POLL)
                 words = await self._words(name, under_way, POLL * 4)
-                known = next((told for told in words.values()
-                              if told.word in (Word.SERVED, Word.FAILED)), None)
+                known = _ended(words)
+                under_way = [member for member in under_way
+                             if member not in words or words[member].word is Word.OPEN]
         answer = self._told(known) if known else failed()
-        self._front.conclude(request, answer, Final.FAILED if known is None else (
-            Final.SERVED if known.word is Word.SERVED else Final.FAILED))
+        served = known is not None and known.word is Word.SERVED and known.answer is not None
+        self._front.conclude(request, answer, Final.SERVED if served else Final.FAILED)
         return False
 
     async def _words(self, name: str, members: list[str], within: float) -> dict[str, operations.Told]:
@@ -574,7 +612,7 @@
             missing.discard(member)
             if word is not None:
                 found[member] = operations.Told(Word(word[0]), word[1])
-            if not missing or (word is not None and word[0] in ("open", "served", "failed")):
+            if not missing or (word is not None and word[0] in (Word.SERVED.value, Word.FAILED.value)):
                 all_there.set()
 
         lost = list(members)
@@ -589,79 +627,73 @@
 
     def attempted(self, request: str, ending: Ending) -> None:
         """An attempt has ended, also one whose request is done."""
-        name = self._operations.get(request)
-        if name is None:
+        operation = self._operations.get(request)
+        if operation is None:
             return
         if isinstance(ending.answer, Row):
-            self._end(name, State.SERVED, ending.answer.data)
+            self._end(operation, State.SERVED, ending.answer.data)
         elif not ending.outcome.never_ran:
-            self._may_have_run.add(name)
+            operation.may_have_run = True
 
     def finish(self, request: str, answer: bytes, end: Final, client: Waiting, over: bool) -> None:
         """A request's final answer: given at once, but for an unsafe one's that was served, once on disk.
 
         `over`: none of its attempts is out.
         """
-        one, name = _Try(client, request), self._operations.get(request)
-        if over and name is not None:
-            del self._operations[request]
-            self._may_have_run.discard(name)
-        if name is None:
+        one, operation = _Try(client, request), self._operations.get(request)
+        if operation is None:
             one.tell(answer)
             return
-        operation = self.ledger.live.get(name)
+        if over:
+            del self._operations[request]
+        under_way = self.ledger.under_way(operation)
         if end is Final.SERVED:
-            self._tries.setdefault(name, []).insert(0, one)
-            if operation and operation.ended is None:
-                self._end(name, State.SERVED, answer[:-len(READY)])
-            elif operation is None or operation.ended is not State.SERVED:
-                self._tell(name, answer)  # it was served elsewhere
+            if under_way:
+                operation.waiting.insert(0, one)
+                self._end(operation, State.SERVED, answer[:-len(READY)])
+            else:
+                one.tell(answer)
+                self._tell(operation, answer)  # it was served elsewhere
             return
-        if end is Final.REFUSED and operation and operation.ask and not operation.cleared:
+        if end is Final.REFUSED and operation.ask and not operation.cleared:
             answer = failed()  # an earlier try may have run at another member
+        if under_way:
+            ran = end is Final.FAILED and operation.written
+            self._end(operation, State.FAILED if ran else State.NEVER)
         one.tell(answer)
-        if operation and operation.ended is None:
-            ran = end is Final.FAILED and (operation.ticket and operation.may_write)
-            self._end(name, State.FAILED if ran else State.NEVER)
-        self._tell(name, answer)
+        self._tell(operation, answer)
 
     def closed(self, request: str) -> None:
         """A request is over with all its attempts."""
-        name = self._operations.pop(request, None)
-        if name is None:
-            return
-        ran = name in self._may_have_run
-        self._may_have_run.discard(name)
-        operation = self.ledger.live.get(name)
-        if operation and operation.ended is None:
-            self._end(name, State.FAILED if ran else State.NEVER)
-            if operation.ended is not State.SERVED:
-                self._tell(name, failed())
-
-    def _end(self, name: str, state: State, answer: bytes | None = None) -> None:
-        operation = self.ledger.live.get(name)
-        if operation is None or operation.ended is not None:
+        operation = self._operations.pop(request, None)
+        if operation and self.ledger.under_way(operation):  # its client left before it had an end
+            self._end(operation, State.FAILED if operation.may_have_run else State.NEVER)
+            self._tell(operation, failed())
+
+    def _end(self, operation: Operation, state: State, answer: bytes | None = None) -> None:
+        if not self.ledger.under_way(operation):
             return
-        ticket = self.ledger.end(name, state, answer)
+        ticket = self.ledger.end(operation, state, answer)
         given = None if answer is None else answer + READY
 
         def on_disk(good: bool) -> None:
-            more = self.ledger.done(name) if good else 0
+            more = self.ledger.done(operation) if good else 0
             if more:
                 self.disk.when(more, on_disk)
                 self.disk.poke()
             elif given is not None:
                 # Where the disk has failed the row is still true, and who asks again is told no less.
-                self._tell(name, given)
+                self._tell(operation, given)
 
         if ticket:
             self.disk.when(ticket, on_disk)
             self.disk.poke()
         elif given is not None:
-            self._tell(name, given)
+            self._tell(operation, given)
 
-    def _tell(self, name: str, answer: bytes) -> None:
-        for one in self._tries.pop(name, []):
+    def _tell(self, operation: Operation, answer: bytes) -> None:
+        waiting, operation.waiting = operation.waiting, []
+        for one in waiting:
             one.tell(answer)
 
     def close(self) -> None:
--- a/frostfall/protocol/group.py
+++ b/frostfall/protocol/group.py
@@ -32,6 +32,7 @@
     stage: str
     doubt: str
     kept: tuple[int, int, str]  # incarnation, batch and token of the receiver, as written down
+    live: bool  # whether that life of the receiver is being heard
     number: int = 0  # of the question, 0 in what is no question
 
 
--- a/frostfall/recovery/ledger.py
+++ b/frostfall/recovery/ledger.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Any
 
 from frostfall.storage.frames import Record, State
 from frostfall.storage.index import place_of
@@ -81,6 +82,9 @@
     ended: State | None = None
     answer: bytes | None = None
     end_ticket: int = 0  # of the end's record; 0 while there is none
+    written: bool = False  # an attempt was let go out
+    may_have_run: bool = False  # an attempt has ended without proof that it never ran
+    waiting: list[Any] = field(default_factory=list)  # the owner's: whom to tell the end
 
     @property
     def may_write(self) -> bool:
@@ -164,44 +168,42 @@
             return (Way.ASK if ask else Way.NEW), None
         return (Way.JOIN if told.word is Word.OPEN else Way.TOLD), told
 
-    def intend(self, name: str) -> int:
+    def intend(self, operation: Operation) -> int:
         """Write the intent down; the ticket to wait for before anything is sent."""
-        operation = self.live[name]
         if not operation.ticket:
-            operation.ticket = self.journal.append(Record(State.OPEN, operation.key, payload(name)))
+            record = Record(State.OPEN, operation.key, payload(operation.name))
+            operation.ticket = self.journal.append(record)
         return operation.ticket
 
-    def may_write(self, name: str) -> bool:
+    def may_write(self, operation: Operation) -> bool:
         """Whether a server may be sent this now: its intent is on disk, and nobody else can have run it."""
-        operation = self.live.get(name)
-        return bool(operation and operation.may_write and operation.ticket
-                    and operation.ticket <= self.journal.durable and not self.journal.fault)
+        return (operation.may_write and 0 < operation.ticket <= self.journal.durable
+                and not self.journal.fault)
+
+    def under_way(self, operation: Operation) -> bool:
+        """Whether this is the one of its name, and has not ended."""
+        return operation.ended is None and self.live.get(operation.name) is operation
 
-    def end(self, name: str, state: State, answer: bytes | None = None) -> int:
-        """An operation has ended: the ticket to wait for before `done`, 0 where nothing is to be kept.
+    def end(self, operation: Operation, state: State, answer: bytes | None = None) -> int:
+        """An operation under way has ended: the ticket to wait for before `done`, 0 where none is kept.
 
         `state` is SERVED with its answer, FAILED where it may have run, NEVER where it provably never did.
         """
-        operation = self.live.get(name)
-        if operation is None or operation.ended is not None:
-            return 0
         operation.ended, operation.answer = state, answer
         if not operation.ticket:
-            del self.live[name]
+            del self.live[operation.name]
             return 0
         if operation.ticket <= self.journal.durable:
             self._write_end(operation)
         return operation.end_ticket or operation.ticket
 
-    def done(self, name: str) -> int:
+    def done(self, operation: Operation) -> int:
         """The ticket of `end` is on disk: one more to wait for, or 0 once the log answers for all of it."""
-        operation = self.live.get(name)
-        if operation is None or operation.ended is None:
-            return 0
         if not operation.end_ticket:  # its intent was still on its way to the disk
             self._write_end(operation)
             return operation.end_ticket
-        del self.live[name]
+        if self.live.get(operation.name) is operation:
+            del self.live[operation.name]
         return 0
 
     def _write_end(self, operation: Operation) -> None:
@@ -216,14 +218,14 @@
 
     def asked(self, name: str) -> Told:
         """Another member asks, with its own intent on disk."""
-        told = self.known(name)
-        if told is not None:
-            operation = self.live.get(name)
-            if operation and not operation.ticket:
-                # Begun here, and nothing is down yet: it is given away, and has to ask before it goes on.
-                operation.ask, operation.cleared = True, False
-                return Told(Word.UNSURE if self.doubt else Word.NONE)
-            return told
+        operation = self.live.get(name)
+        if operation and operation.ended is None and not operation.ticket:
+            # Begun here, and nothing is down yet: it is given away, and has to ask before it goes on.
+            operation.ask, operation.cleared = True, False
+        elif not (operation and operation.ended is State.NEVER):
+            told = self.known(name)
+            if told is not None:
+                return told
         if self.doubt:
             return Told(Word.UNSURE)
         if self.marked:  # else all are asked about all
@@ -235,21 +237,14 @@
                 self.ceded.clear()
         return Told(Word.NONE)
 
-    def ask(self, name: str, members: Iterable[str]) -> None:
+    def ask(self, operation: Operation, members: Iterable[str]) -> None:
         """These members are asked now."""
-        operation = self.live[name]
         operation.waiting_for = set(members)
         if not operation.waiting_for:
             operation.cleared = not self.doubt
 
-    def answered(self, name: str, member: str, told: Told) -> Told | None:
-        """A member has answered; its word again where that ends the asking, as NONE alone does not."""
-        operation = self.live.get(name)
-        if operation is None or operation.ended is not None or member not in operation.waiting_for:
-            return None
-        if told.word is Word.NONE:
+    def answered(self, operation: Operation, member: str, told: Told) -> None:
+        """A member has answered: with the last NONE of all, nobody can have run it."""
+        if told.word is Word.NONE and member in operation.waiting_for and operation.ended is None:
             operation.waiting_for.discard(member)
-            if not operation.waiting_for and not self.doubt:
-                operation.cleared = True
-            return None
-        return told
+            operation.cleared = not operation.waiting_for and not self.doubt
--- a/frostfall/recovery/rules.py
+++ b/frostfall/recovery/rules.py
@@ -79,6 +79,7 @@
     members: tuple[Member, ...]
     listen: str = ""  # where members reach this agent, if not at its own entry's address
     operation: str = ""  # the comment's field that names an operation; "": the statement's id
+    new: bool = False  # the group is being set up: an empty folder is a first start, and no lost one
     retries_marked: bool = False  # operators' word that clients mark every try after an operation's first
     store: Store = Store()
     turns: Turns = Turns()
--- /dev/null
+++ b/tests/test_power_model.py
@@ -0,0 +1,77 @@
+"""Schedules of faults on the program's own record and gates, in virtual time; mutants that it has to find."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Iterator
+from concurrent.futures import ProcessPoolExecutor
+from typing import Any
+
+import pytest
+import structlog
+
+from frostfall.bench.schedules import judge, script, shrink
+from frostfall.membership.members import Members
+from frostfall.model.power import Fault, Operation, Schedule, drawn, play
+from frostfall.net.disk import Disk
+from frostfall.recovery.ledger import Ledger, Told, Word
+
+SEEDS = range(48)
+
+
+@pytest.fixture(autouse=True)
+def quiet() -> Iterator[None]:
+    structlog.configure(logger_factory=structlog.ReturnLoggerFactory(), cache_logger_on_first_use=False,
+                        wrapper_class=structlog.make_filtering_bound_logger(50))
+    yield
+    structlog.reset_defaults()
+
+
+def test_drawn_schedules_break_nothing_and_all_heal() -> None:
+    with ProcessPoolExecutor(os.cpu_count()) as pool:
+        for seed, found in zip(SEEDS, pool.map(judge, map(drawn, SEEDS))):
+            assert not found, (seed, found)
+
+
+def test_the_same_schedule_gives_the_same_history() -> None:
+    assert play(drawn(7)) == play(drawn(7))
+
+
+async def at_once(self: Disk, ticket: int) -> bool:
+    return True
+
+
+def never_ceding(self: Ledger, name: str) -> Told:
+    return Told(Word.NONE)
+
+
+LOSS = Fault(1.0, "off", ("n0", "n1", "n2"), seconds=0.3)
+TWICE = Operation(0.9, "o", ("n0", "n1", "n2", "n0"), 0.3)
+MUTANTS: dict[str, tuple[Any, str, Any, Schedule]] = {
+    "the sync is not waited for": (Disk, "durable", at_once, Schedule(1, 3, (
+        *(Operation(0.98 + place / 2000, f"p{place}", ("n0",) * 4, 0.3) for place in range(60)),, (LOSS,))),
+    "a member forgets what it knows": (Ledger, "asked", never_ceding, Schedule(1, 3, (TWICE,), ())),
+    "an old folder is not noticed": (Members, "told_of_me", lambda *told: None, Schedule(
+        1, 3, (TWICE,), (LOSS, Fault(3.0, "lose", ("n0",), seconds=0.5)))),
+}
+
+
+@pytest.mark.parametrize("name", MUTANTS)
+def test_a_mutant_of_the_program_is_found(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    owner, method, mutant, schedule = MUTANTS[name]
+    assert not judge(schedule)
+    monkeypatch.setattr(owner, method, mutant)
+    if method == "durable":
+        monkeypatch.setattr(Ledger, "may_write", lambda self, operation: operation.may_write)
+    assert judge(schedule)
+
+
+def test_a_failing_schedule_shrinks_to_a_small_script(monkeypatch: pytest.MonkeyPatch) -> None:
+    more = tuple(Operation(1.0 + place / 10, f"p{place}", ("n1",) * 4) for place in range(6))
+    whole = Schedule(1, 3, (TWICE, *more), (Fault(2.0, "cut", ("n0",), "n1"), Fault(3.0, "stall", ("n2",))))
+    monkeypatch.setattr(Ledger, "asked", never_ceding)
+    small = shrink(whole)
+    assert [each.name for each in small.operations] == ["o"] and not small.faults
+    assert judge(small) and '"name": "o"' in script(small)
+
+
