--- a/frostfall/bench/faults_disk.py
+++ b/frostfall/bench/faults_disk.py
@@ -151,7 +151,7 @@
     if os.environ.get("FROSTFALL_MUTANT") == "intent not synced":
         disk.Disk.durable = _at_once  # type: ignore[method-assign]
         Ledger.may_write = lambda self, operation: True  # type: ignore[method-assign]
-    from frostfall.__main__ import main as program
+    from frostfall.program import main as program
 
     return program()
 
--- a/frostfall/cli.py
+++ b/frostfall/cli.py
@@ -5,6 +5,7 @@
 import os
 import sys
 from pathlib import Path
+from typing import Any
 
 import click
 
@@ -26,7 +27,7 @@
               help="Log from this level on.")
 def run(path: str, operator: str | None, log: str | None) -> None:
     """Run one agent until SIGTERM; SIGHUP reads both files anew."""
-    from frostfall.__main__ import main as serve
+    from frostfall.program import main as serve
 
     os.environ["BALANCER_CONFIG"] = path
     for name, value in (("FROSTFALL_OPERATOR", operator), ("FROSTFALL_LOG", log)):
@@ -108,3 +109,124 @@
     except ImportError as error:
         raise click.ClickException(f"{error}; install requirements-bench.txt") from None
     measure.run(rounds, out, sizes)
+
+
+@bench.command("power-loss")
+@click.option("--losses", default=200, show_default=True, help="Power losses of groups of 5 and 9 agents.")
+@click.option("--schedules", default=10_000, show_default=True, help="Schedules of faults in virtual time.")
+@click.option("--records", default=1_000_000, show_default=True, help="Records that a start has to read.")
+@click.option("--rounds", default=3, show_default=True, help="How often the store's cost is measured.")
+@click.option("--against", default="8059fbe", show_default=True, help="The revision that is compared with.")
+@click.option("--out", type=click.Path(file_okay=False, path_type=Path), default=Path("bench-out"),
+              show_default=True, help="Where the JSON, the table and the plot go.")
+def power_loss(losses: int, schedules: int, records: int, rounds: int, against: str, out: Path) -> None:
+    """Groups of agents lose power under load; the store's cost; schedules of faults in virtual time."""
+    try:
+        import frostfall.bench.power_loss as measure
+    except ImportError as error:
+        raise click.ClickException(f"{error}; install requirements-bench.txt and requirements-group.txt"
+                                   ) from None
+    measure.run(losses, schedules, records, rounds, against, out, click.echo)
+
+
+@main.group()
+def group() -> None:
+    """See and steer a group of agents by its operator file's section `group`."""
+
+
+def _members(operator: str, who: tuple[str, ...]) -> tuple[str, list[tuple[str, config.Address]]]:
+    """The shared key, and the members that are named, or all."""
+    try:
+        rules = config.operator(config.read(operator, "operator"), operator).group
+        if rules is None:
+            raise config.ConfigError(f"{operator}: group: there is no such section")
+        known = {member.name: config.address(member.address, "address") for member in rules.members}
+        for name in who:
+            if name not in known:
+                raise config.ConfigError(f"{name}: no member of {', '.join(known)}")
+    except config.ConfigError as error:
+        raise click.ClickException(str(error)) from None
+    return rules.key, [(name, known[name]) for name in who or known]
+
+
+def _order(operator: str, who: tuple[str, ...], what: str, by: str, as_json: bool) -> None:
+    """Say something to members, and show how they stand; exit with 1 where one is not reached."""
+    import anyio
+    import msgspec
+
+    from frostfall.net import group as link
+    from frostfall.net.streams import ENDED
+    from frostfall.protocol.group import Stranger
+
+    key, members = _members(operator, who)
+    missing = 0
+    for name, address in members:
+        try:
+            fields = anyio.run(link.order, address, key, what, by).fields
+        except (OSError, Stranger, *ENDED) as error:
+            missing += 1
+            click.echo(f"{name}: not reached: {error or type(error).__name__}", err=True)
+            continue
+        click.echo(msgspec.json.encode(fields) if as_json else _shown(fields))
+    sys.exit(1 if missing else 0)
+
+
+def _shown(fields: dict[str, Any]) -> str:
+    """A member's state as lines."""
+    lines = [f"{fields['name']}: life {fields['life']}, record {fields['record']}, {fields['operations']} "
+             f"operations, {fields['segments']} segments of {fields['bytes'] / 1e6:.1f} MB"]
+    if fields["waits_for"]:
+        lines.append(f"  waits for {fields['waits_for']}: {fields['because']}")
+    lines += [f"  {key}: {fields[key]}" for key in ("why", "doubt", "held") if fields[key]]
+    lines += [f"  gate {name}: {stand}{', ' + why if why else ''} (since {since:g} s after the start)"
+              for name, (stand, why, since) in fields["gates"].items()]
+    lines += [f"  member {name}: {health}, life {life}{', waits for ' + stage if stage else ''}"
+              f"{', in doubt: ' + doubt if doubt else ''}, clock {ahead:+.1f} s"
+              for name, (health, life, stage, doubt, ahead) in fields["members"].items()]
+    return "\n".join(lines)
+
+
+_OPERATOR = click.option("--operator", envvar="FROSTFALL_OPERATOR", required=True,
+                         type=click.Path(dir_okay=False), help="An operator file with a section `group`.")
+_JSON = click.option("--json", "as_json", is_flag=True, help="One JSON object a member.")
+_WHO = click.argument("members", nargs=-1)
+_BY = click.option("--by", default=lambda: os.environ.get("USER", "operator"), help="Who says so.")
+
+
+@group.command("status")
+@_OPERATOR
+@_JSON
+@_WHO
+def group_status(operator: str, as_json: bool, members: tuple[str, ...]) -> None:
+    """Show each member's gates, what it waits for and why, and how it sees the others."""
+    _order(operator, members, "status", "", as_json)
+
+
+@group.command("accept")
+@_OPERATOR
+@_JSON
+@_BY
+@click.argument("members", nargs=-1, required=True)
+def group_accept(operator: str, as_json: bool, by: str, members: tuple[str, ...]) -> None:
+    """Accept that these members' records lack what was lost: what they do not know counts as never run."""
+    _order(operator, members, "accept", by, as_json)
+
+
+@group.command("hold")
+@_OPERATOR
+@_JSON
+@_BY
+@_WHO
+def group_hold(operator: str, as_json: bool, by: str, members: tuple[str, ...]) -> None:
+    """Hold members' votes on builds, over restarts too, until `lift`."""
+    _order(operator, members, "hold", by, as_json)
+
+
+@group.command("lift")
+@_OPERATOR
+@_JSON
+@_BY
+@_WHO
+def group_lift(operator: str, as_json: bool, by: str, members: tuple[str, ...]) -> None:
+    """Let members vote again."""
+    _order(operator, members, "lift", by, as_json)
--- a/frostfall/membership/members.py
+++ b/frostfall/membership/members.py
@@ -45,6 +45,8 @@
     acknowledged: int = 0  # the highest own incarnation that it has on disk
     clock_ahead: float = 0.0  # seconds of its wall clock before the own one
     doubt: str = ""  # why its record proves nothing, by its own word
+    outdated: str = ""  # why it proves nothing, by what was known of it here: until it says so itself
+    remark: str = ""  # the same of whoever spoke last under its name
     stage: str = ""  # the gate that it waits for
 
 
@@ -56,6 +58,18 @@
     REPLACED = "replaced"  # its sender has been replaced by a newer life
 
 
+def _older(kept: Life, last: Life) -> str:
+    """Why a folder that ended with `last` is older than what is known of it; empty where it is not."""
+    if kept.incarnation > last.incarnation:
+        return f"knew life {kept.incarnation} of this member, its folder {last.incarnation or 'none'}"
+    if kept.incarnation and kept.incarnation == last.incarnation:
+        if kept.token != last.token:
+            return f"knew another life {kept.incarnation} of this member"
+        if kept.batch > last.batch:
+            return f"saw batch {kept.batch} on this member's disk, the folder ended with {last.batch}"
+    return ""
+
+
 class Members:
     """The group as one member sees it."""
 
@@ -85,17 +99,21 @@
             return 0
         return 1 + sum(peer.acknowledged >= self.incarnation for peer in self.peers.values())
 
-    def recall(self, name: str, life: Life) -> None:
+    def recall(self, name: str, life: Life, outdated: str) -> None:
         """What was written down of a member in an earlier life."""
         if peer := self.peers.get(name):
-            peer.kept = life
+            peer.kept, peer.outdated = life, outdated
             peer.life = Life(life.incarnation, life.batch, life.token)
 
-    def heard(self, name: str, life: Life, stage: str, clock_ahead: float, doubt: str) -> Answer | None:
-        """A member spoke; None for a stranger."""
+    def heard(self, name: str, life: Life, last: Life, stage: str, clock_ahead: float,
+              doubt: str) -> Answer | None:
+        """A member spoke; `last` is what its folder said when it started. None for a stranger."""
         peer = self.peers.get(name)
         if peer is None:
             return None
+        # Danger: with its own life written down over it, what was known of an older one would be gone before
+        # the member itself has its doubt on disk. So who knew keeps it, and tells it, until then.
+        peer.remark = _older(peer.kept, last) if life.token != peer.kept.token else ""
         if life.incarnation < peer.life.incarnation or (
                 life.incarnation == peer.life.incarnation and life.token != peer.life.token):
             if peer.health in (Health.UNHEARD, Health.AWAY):
@@ -108,44 +126,49 @@
             peer.acknowledged = 0
         if fresh or life.batch > peer.life.batch:
             peer.life = life
-        return Answer.NEW_LIFE if peer.kept.incarnation < life.incarnation else Answer.GOOD
-
-    def told_of_me(self, name: str, kept: Life, live: bool, last: Life) -> None:
-        """A member says what it has on disk of this one, and whether it hears that life.
+        return Answer.NEW_LIFE if peer.kept.token != life.token else Answer.GOOD
 
-        `last` is what one's own folder said at the start. A life that others know and that the folder does
-        not is one that it has lost: it is lost, swapped or an older copy.
-        """
+    def told_of_me(self, name: str, kept: Life, live: bool, outdated: str) -> None:
+        """A member says what it has on disk of this one, whether it hears that life, and what it doubts."""
         peer = self.peers.get(name)
-        if peer is None or not kept.incarnation:
+        if peer is None:
             return
+        self.outdated = self.outdated or (f"{name} {outdated}" if outdated else "")
         if kept.incarnation == self.incarnation and kept.token == self.token:
             peer.acknowledged = kept.incarnation
-            return
-        if kept.incarnation >= self.incarnation > 0:
+        elif kept.incarnation >= self.incarnation > 0:
             # Danger: who has served and then hears of a newer life that is there is the old one of two
             # processes, and stops. Who only starts, or hears of a life that is over, takes a higher number.
             if live and kept.incarnation > self.incarnation and self.acknowledging >= self.majority:
                 self.replaced_by = max(self.replaced_by, kept.incarnation)
             else:
                 self.must_exceed = max(self.must_exceed, kept.incarnation)
-        if self.outdated or self.replaced_by:
-            return
-        if kept.incarnation > last.incarnation:
-            self.outdated = (f"{name} knew life {kept.incarnation} of this member, "
-                             f"its folder only {last.incarnation or 'none'}")
-        elif kept.incarnation == last.incarnation and kept.token != last.token:
-            self.outdated = f"{name} knew another life {kept.incarnation} of this member"
-        elif kept.incarnation == last.incarnation and kept.batch > last.batch:
-            self.outdated = (f"{name} saw batch {kept.batch} on this member's disk, "
-                             f"the folder ended with {last.batch}")
-
-    def wrote_down(self, name: str, life: Life) -> None:
+
+    def wrote_down(self, name: str, life: Life, outdated: str = "") -> None:
         """What was heard of a member is on disk."""
         peer = self.peers[name]
         if (life.incarnation, life.batch) > (peer.kept.incarnation, peer.kept.batch):
+            if life.token != peer.kept.token:
+                peer.outdated = outdated or peer.outdated
             peer.kept = life
 
+    @property
+    def clear(self) -> bool:
+        """Whether nobody's folder is known here to be older than what was known of it."""
+        return not any(peer.outdated for peer in self.peers.values())
+
+    def agree(self, tokens: dict[str, str], lives: dict[str, dict[str, str]]) -> bool:
+        """Whether all have each other's present lives on disk, and so have judged each other's folders.
+
+        `tokens` are the others' lives by their own word, `lives` what each has on disk of the rest. Without
+        that, one whose folder is lost could be asked before anybody has told it so.
+        """
+        known = {**tokens, self.own: self.token}
+        mine = {name: peer.kept.token for name, peer in self.peers.items()}
+        return self.clear and all(
+            told.get(name) == token for who, told in {**lives, self.own: mine}.items()
+            for name, token in known.items() if name != who)
+
     def turn(self) -> list[tuple[str, Health]]:
         """One more attended turn; whose health has changed by it. Turns slept through are none."""
         changed = []
--- a/frostfall/net/group.py
+++ b/frostfall/net/group.py
@@ -5,6 +5,7 @@
 import os
 from collections.abc import Callable
 from contextlib import suppress
+from dataclasses import dataclass
 from itertools import count
 from time import monotonic
 
@@ -23,16 +24,29 @@
 CALLERS_PART = 4  # connections taken in for each member: its own, an old one that hangs, and operators
 
 _log = log.get("group")
-Told = tuple[str, bytes | None]  # a word on an operation, and its answer
+@dataclass(slots=True)
+class Told:
+    """A word on an operation and its answer, and what the teller has on disk of the others' lives."""
+
+    word: str
+    answer: bytes | None
+    token: str
+    lives: dict[str, str]
+
+
 
 
 class Line:
     """The connection to one member: a word every turn, and questions as they come up."""
 
     def __init__(self, name: str, address: Address, key: str, every: float,
-                 beat: Callable[[str], Beat | None], heard: Callable[[Beat], None]) -> None:
-        """Dial this member; `beat` gives the word for it, or None while there is none to give."""
-        self.name, self._address, self._key, self._every = name, address, key, every
+                 beat: Callable[[str], Beat | None], heard: Callable[[Beat], None],
+                 who: Callable[[], tuple[str, str]]) -> None:
+        """Dial this member; `beat` gives the word for it, or None while there is none to give.
+
+        `who` gives one's own name and the token of one's life.
+        """
+        self.name, self._address, self._key, self._every, self._who = name, address, key, every, who
         self._beat, self._heard = beat, heard
         self._numbers = count(1)
         self._wake = anyio.Event()
@@ -123,16 +137,17 @@
         number, asked = next(self._numbers), list(self._asked.items())
         self._asked = {}
         self._out[number] = asked
-        await stream.send(wire.frame(Ask(number, [operation for operation, _ in asked])))
+        names = [operation for operation, _ in asked]
+        await stream.send(wire.frame(Ask(number, names, *self._who())))
 
     def _take(self, message: Message) -> None:
         if isinstance(message, Beat):
             self.up, self._unanswered = True, 0
             self._heard(message)
         elif isinstance(message, Tell) and (asked := self._out.pop(message.number, None)):
-            for (_, waiting), told in zip(asked, message.told):
+            for (_, waiting), (word, answer) in zip(asked, message.told):
                 for each in waiting:
-                    each(told)
+                    each(Told(word, answer, message.token, message.lives))
 
 
 class Listener:
--- a/frostfall/net/recovery.py
+++ b/frostfall/net/recovery.py
@@ -99,9 +99,10 @@
             self.client.answer(answer)
 
 
-def _ended(words: dict[str, operations.Told]) -> operations.Told | None:
+def _ended(words: dict[str, Told]) -> operations.Told | None:
     """The word of a member that knows how an operation ended, one with an answer before others."""
-    known = [told for told in words.values() if told.word in (Word.SERVED, Word.FAILED)]
+    known = [operations.Told(Word(told.word), told.answer) for told in words.values()
+             if told.word in (Word.SERVED.value, Word.FAILED.value)]
     return max(known, key=lambda told: told.word is Word.SERVED, default=None)
 
 
@@ -139,6 +140,7 @@
         self._entries: dict[str, Any] = {}  # the list as it is, by instance
         self._generation, self._list_dirty = 0, False
         self._noted: set[str] = set()
+        self._doubt_on_disk = False
         self._noted_batches: dict[str, tuple[int, str]] = {}  # by member
 
     # ---- the start, and what goes on beside requests -----------------------------------------------
@@ -157,8 +159,9 @@
                 for member in self.rules.members:
                     if member.name != self._name:
                         host, _, port = member.address.rpartition(":")
-                        line = self._parts.line(member.name, Address(host.strip("[]"), int(port)),
-                                            self.rules.key, self.rules.turns.every, self._beat, self._heard)
+                        where = Address(host.strip("[]"), int(port))
+                        line = self._parts.line(member.name, where, self.rules.key, self.rules.turns.every,
+                                                self._beat, self._heard, self._who)
                         self._lines[member.name] = line
                         group.start_soon(line.run)
                 group.start_soon(self._turns)
@@ -188,7 +191,7 @@
         if self.journal.condition is Condition.FRESH and not self.rules.new and not self.facts.unusable:
             # Danger: with all folders lost at once, nobody is left to tell a lost one from a first start.
             self.facts.doubt = self.ledger.doubt = "there was no record: a first start, or a lost folder"
-            self._note(Doubt(self.facts.doubt))
+            self._note_doubt()
             _log.warning("no record: operators have to accept that, or to set `new` in the group's section")
         self.facts.read = True
         if self._list:
@@ -217,10 +220,11 @@
         match written.decode(data):
             case written.Life(incarnation, token):
                 self._last.incarnation, self._last.token = incarnation, token
-            case Seen(member, incarnation, batch, token):
-                self.members.recall(member, Life(incarnation, batch, token))
+            case Seen(member, incarnation, batch, token, outdated):
+                self.members.recall(member, Life(incarnation, batch, token), outdated)
             case Doubt(why):
                 self.ledger.doubt = self.facts.doubt = why
+                self._doubt_on_disk = True
             case GoneBack(build):
                 self._gone_back = max(self._gone_back, build)
             case Hold(who, on):
@@ -232,7 +236,7 @@
         own = (self.members.incarnation, self.members.token) if self.members.incarnation else (
             self._last.incarnation, self._last.token)
         kept: list[Fact] = [written.Life(*own)] if own[0] else []
-        kept += [Seen(name, peer.kept.incarnation, peer.kept.batch, peer.kept.token)
+        kept += [Seen(name, peer.kept.incarnation, peer.kept.batch, peer.kept.token, peer.outdated)
                  for name, peer in self.members.peers.items() if peer.kept.incarnation]
         if self.facts.doubt:
             kept.append(Doubt(self.facts.doubt))
@@ -312,10 +316,6 @@
             facts.replaced = f"life {self.members.replaced_by} of this member has begun elsewhere"
             _log.error("replaced: this agent stops", why=facts.replaced)
             self._front.stop()
-        if self.members.outdated and not facts.doubt:
-            facts.doubt = self.ledger.doubt = self.members.outdated
-            self._note(Doubt(facts.doubt))
-            _log.error("the folder is lost, swapped or old: it proves nothing", why=facts.doubt)
         doubting = [name for name, peer in self.members.peers.items() if peer.doubt]
         if bool(facts.doubt) + len(doubting) >= self.members.majority and "majority" not in self._noted:
             self._noted.add("majority")
@@ -329,44 +329,68 @@
 
     # ---- the group ---------------------------------------------------------------------------------
 
+    def _who(self) -> tuple[str, str]:
+        return self._name, self.members.token
+
     def _beat(self, member: str) -> Beat | None:
-        if not self.members.incarnation or not self.facts.identity:
-            return None
         peer = self.members.peers.get(member)
-        kept = peer.kept if peer else Life()
-        waiting = self.gates.waited_for()
+        if not self.members.incarnation or not self.facts.identity or peer is None:
+            return None
+        kept, waiting = peer.kept, self.gates.waited_for()
         return Beat(self._name, self.members.incarnation, self.journal.on_disk, self.members.token,
-                    self._wall(), waiting[0].value if waiting else "", self.facts.doubt,
-                    (kept.incarnation, kept.batch, kept.token),
-                    peer is not None and peer.health is Health.HERE)
+                    self._wall(), waiting[0].value if waiting else "",
+                    self.facts.doubt if self._doubt_on_disk else "",
+                    (self._last.incarnation, self._last.batch, self._last.token),
+                    (kept.incarnation, kept.batch, kept.token), peer.health is Health.HERE,
+                    peer.remark or peer.outdated)
 
     def _heard(self, beat: Beat) -> None:
         # Danger: held against a folder that has not been read yet, what others know of it looks like more.
         if beat.name not in self.members.peers or not self.facts.read:
             return
-        ahead = beat.wall - self._wall()
-        life = Life(beat.incarnation, beat.batch, beat.token)
+        peer = self.members.peers[beat.name]
+        ahead, health, beyond = beat.wall - self._wall(), peer.health, self.members.must_exceed
         if abs(ahead) > CLOCK_APART and f"clock {beat.name}" not in self._noted:
             self._noted.add(f"clock {beat.name}")
             _log.warning("clocks differ", member=beat.name, ahead_s=round(ahead, 1))
-        before_health = self.members.peers[beat.name].health
-        answer = self.members.heard(beat.name, life, beat.stage, ahead, beat.doubt)
-        if (health := self.members.peers[beat.name].health) is not before_health:
-            _log.info("member", member=beat.name, health=health.value, life=beat.incarnation)
-        before = self.members.must_exceed
-        self.members.told_of_me(beat.name, Life(*beat.kept), beat.live, self._last)
+        life = Life(beat.incarnation, beat.batch, beat.token)
+        answer = self.members.heard(beat.name, life, Life(*beat.last), beat.stage, ahead, beat.doubt)
+        if peer.health is not health:
+            _log.info("member", member=beat.name, health=peer.health.value, life=beat.incarnation)
+        self.members.told_of_me(beat.name, Life(*beat.kept), beat.live, beat.outdated)
+        # Danger: a doubt goes to the disk before any life that others write down over what they knew.
+        self._doubt()
         if answer is Answer.NEW_LIFE and self.disk.opened:
-            ticket = self._note(Seen(beat.name, life.incarnation, life.batch, life.token))
-            self.disk.when(ticket, lambda good: self._wrote_down(beat.name, life) if good else None)
+            remark = peer.remark
+            ticket = self._note(Seen(beat.name, life.incarnation, life.batch, life.token, remark))
+            self.disk.when(ticket, lambda good: self._wrote_down(beat.name, life, remark) if good else None)
         elif answer is Answer.GOOD:
-            # The batches of a life that is on disk go to the disk with the next segment.
+            # The batches of a life that is on disk go to the disk now and then.
             self.members.wrote_down(beat.name, life)
-        if self.members.must_exceed > before:
+            if beat.doubt and peer.outdated:  # it has that on disk itself by now
+                peer.outdated = ""
+                self._note(Seen(beat.name, life.incarnation, life.batch, life.token))
+        if self.members.must_exceed > beyond:
             _log.warning("others knew later lives of this member", beyond=self.members.must_exceed)
         self._touch()
 
-    def _wrote_down(self, name: str, life: Life) -> None:
-        self.members.wrote_down(name, life)
+    def _doubt(self) -> None:
+        """Write down that the record proves nothing, once it is known."""
+        if not self.members.outdated or self.facts.doubt or not self.disk.opened:
+            return
+        self.facts.doubt = self.ledger.doubt = self.members.outdated
+        _log.error("the folder is lost, swapped or old: it proves nothing", why=self.facts.doubt)
+        self._note_doubt()
+
+    def _note_doubt(self) -> None:
+        def noted(good: bool) -> None:
+            self._doubt_on_disk = good
+
+        self._doubt_on_disk = False
+        self.disk.when(self._note(Doubt(self.facts.doubt)), noted)
+
+    def _wrote_down(self, name: str, life: Life, outdated: str) -> None:
+        self.members.wrote_down(name, life, outdated)
         if line := self._lines.get(name):
             line.poke()
         self._touch()
@@ -376,20 +400,25 @@
             case Beat():
                 self._heard(message)
                 return self._beat(message.name)
-            case Ask(number, names):
-                return Tell(number, [self._asked(name) for name in names])
+            case Ask(number, names, sender, token):
+                peer = self.members.peers.get(sender)
+                known = peer is not None and peer.kept.token == token and self.members.clear
+                return Tell(number, [self._asked(name, known) for name in names], self.members.token,
+                            {name: each.kept.token for name, each in self.members.peers.items()})
             case Order(number, what, who):
                 return Report(number, self._order(what, who))
         return None
 
-    def _asked(self, name: str) -> Told:
-        if not self.facts.read:
+    def _asked(self, name: str, known: bool) -> tuple[str, bytes | None]:
+        if not self.facts.read or not self.facts.identity:
             return Word.UNSURE.value, None
         try:
             told = self.ledger.asked(name)
         except (OSError, ValueError) as error:
             self._unreadable(error)
             return Word.UNSURE.value, None
+        if told.word is Word.NONE and not known:
+            return Word.UNSURE.value, None
         return told.word.value, told.answer
 
     def _unreadable(self, error: Exception) -> None:
@@ -403,7 +432,7 @@
             _log.warning("operators accept the loss", who=who, doubt=self.facts.doubt)
             self.members.outdated = self.facts.doubt = self.ledger.doubt = ""
             self._last = Life(self.members.incarnation, self.journal.on_disk, self.members.token)
-            self._note(Doubt(""))
+            self._note_doubt()
             self._noted.discard("majority")
         elif what in ("hold", "lift"):
             self.facts.held = who if what == "hold" else ""
@@ -451,7 +480,7 @@
         for name, peer in self.members.peers.items():
             if (peer.kept.batch, peer.kept.token) != self._noted_batches.get(name) and peer.kept.incarnation:
                 self._noted_batches[name] = peer.kept.batch, peer.kept.token
-                self._note(Seen(name, peer.kept.incarnation, peer.kept.batch, peer.kept.token))
+                self._note(Seen(name, peer.kept.incarnation, peer.kept.batch, peer.kept.token, peer.outdated))
 
     def _note_list(self) -> None:
         """Write the list down, if it has changed: once a turn at most."""
@@ -575,15 +604,24 @@
         others, name = list(self._lines), operation.name
         self.ledger.ask(operation, others)
         within = min(self.rules.waits.ask, max(deadline - EARLY - self._clock(), 0) / 1e6)
-        words = await self._words(name, others, within)
-        for member, told in words.items():
-            self.ledger.answered(operation, member, told)
+        until = self._steady() + within
+        while True:
+            words = await self._words(name, others, until - self._steady())
+            none = len(words) == len(others) and all(told.word == Word.NONE.value for told in words.values())
+            if none and self.members.agree({member: told.token for member, told in words.items()},
+                                           {member: told.lives for member, told in words.items()}):
+                for member in others:
+                    self.ledger.answered(operation, member, operations.Told(Word.NONE))
+                break
+            if not none or self._steady() >= until - POLL:
+                break
+            await anyio.sleep(POLL)  # they have not all heard of each other's lives yet
         if not self.ledger.under_way(operation):
             return False
         if operation.cleared:
             return True
         known = _ended(words)
-        under_way = [member for member, told in words.items() if told.word is Word.OPEN]
+        under_way = [member for member, told in words.items() if told.word == Word.OPEN.value]
         if known is None and under_way:
             # Both have their intents down: this one steps back, and tells what becomes of the other.
             self._end(operation, State.NEVER)
@@ -592,14 +630,14 @@
                 words = await self._words(name, under_way, POLL * 4)
                 known = _ended(words)
                 under_way = [member for member in under_way
-                             if member not in words or words[member].word is Word.OPEN]
+                             if member not in words or words[member].word == Word.OPEN.value]
         answer = self._told(known) if known else failed()
         served = known is not None and known.word is Word.SERVED and known.answer is not None
         self._front.conclude(request, answer, Final.SERVED if served else Final.FAILED)
         return False
 
-    async def _words(self, name: str, members: list[str], within: float) -> dict[str, operations.Told]:
-        found: dict[str, operations.Told] = {}
+    async def _words(self, name: str, members: list[str], within: float) -> dict[str, Told]:
+        found: dict[str, Told] = {}
         missing = set(members)
         all_there = anyio.Event()
         if not members:
@@ -611,8 +649,8 @@
                 return
             missing.discard(member)
             if word is not None:
-                found[member] = operations.Told(Word(word[0]), word[1])
-            if not missing or (word is not None and word[0] in (Word.SERVED.value, Word.FAILED.value)):
+                found[member] = word
+            if not missing or (word is not None and word.word in (Word.SERVED.value, Word.FAILED.value)):
                 all_there.set()
 
         lost = list(members)
--- a/frostfall/protocol/group.py
+++ b/frostfall/protocol/group.py
@@ -31,8 +31,10 @@
     wall: float  # seconds of Unix time by its clock
     stage: str
     doubt: str
-    kept: tuple[int, int, str]  # incarnation, batch and token of the receiver, as written down
+    last: tuple[int, int, str]  # incarnation, batch and token of the sender's folder when it started
+    kept: tuple[int, int, str]  # the same of the receiver, as it was last written down
     live: bool  # whether that life of the receiver is being heard
+    outdated: str  # why the receiver's folder is older than what was known of it
     number: int = 0  # of the question, 0 in what is no question
 
 
@@ -41,6 +43,8 @@
 
     number: int
     names: list[str]
+    sender: str = ""
+    token: str = ""  # of the sender's life
 
 
 class Tell(msgspec.Struct, tag="tell", array_like=True):
@@ -48,6 +52,8 @@
 
     number: int
     told: list[tuple[str, bytes | None]]
+    token: str = ""  # of the teller's life
+    lives: dict[str, str] = {}  # the tokens of all others' lives that it has on disk
 
 
 class Order(msgspec.Struct, tag="order", array_like=True):
--- a/frostfall/recovery/facts.py
+++ b/frostfall/recovery/facts.py
@@ -22,6 +22,7 @@
     incarnation: int
     batch: int
     token: str
+    outdated: str = ""  # why its folder is older than what was known of it, until it has that on disk itself
 
 
 class Doubt(msgspec.Struct, frozen=True, tag="doubt", array_like=True):
