--- a/frostfall/membership/members.py
+++ b/frostfall/membership/members.py
@@ -47,6 +47,8 @@
     doubt: str = ""  # why its record proves nothing, by its own word
     outdated: str = ""  # why it proves nothing, by what was known of it here: until it says so itself
     remark: str = ""  # the same of whoever spoke last under its name
+    newer: int = 0  # a life of this very member, newer than one's own, that it says to hear
+    newer_turns: int = 0  # for how many turns
     stage: str = ""  # the gate that it waits for
 
 
@@ -140,8 +142,9 @@
             # Danger: who has served and then hears of a newer life that is there is the old one of two
             # processes, and stops. Who only starts, or hears of a life that is over, takes a higher number.
             if live and kept.incarnation > self.incarnation and self.acknowledging >= self.majority:
-                self.replaced_by = max(self.replaced_by, kept.incarnation)
+                peer.newer = kept.incarnation  # it may be over all the same: see `turn`
             else:
+                peer.newer, peer.newer_turns = 0, 0
                 self.must_exceed = max(self.must_exceed, kept.incarnation)
 
     def wrote_down(self, name: str, life: Life, outdated: str = "") -> None:
@@ -152,6 +155,11 @@
                 peer.outdated = outdated or peer.outdated
             peer.kept = life
 
+    @property
+    def contested(self) -> int:
+        """A newer life of this very member that somebody says to hear; 0 where nobody does."""
+        return max((peer.newer for peer in self.peers.values()), default=0)
+
     @property
     def clear(self) -> bool:
         """Whether nobody's folder is known here to be older than what was known of it."""
@@ -173,6 +181,10 @@
         """One more attended turn; whose health has changed by it. Turns slept through are none."""
         changed = []
         for name, peer in self.peers.items():
+            if peer.newer:
+                peer.newer_turns += 1
+                if peer.newer_turns > self._rules.suspect + 1:  # a life that is over is suspected by now
+                    self.replaced_by = max(self.replaced_by, peer.newer)
             peer.missed += 1
             before = peer.health
             if before is Health.HERE and peer.missed > self._rules.suspect:
--- a/frostfall/model/power.py
+++ b/frostfall/model/power.py
@@ -362,6 +362,9 @@
         """Speak now."""
         self._wake.set()
 
+    def want_list(self, have: Callable[[Any], None]) -> None:
+        """There is one list for all."""
+
     def ask(self, operation: str, told: Callable[[Told | None], None]) -> None:
         """See net.group."""
         def answered(message: Message | None) -> None:
--- a/frostfall/net/agent.py
+++ b/frostfall/net/agent.py
@@ -289,7 +289,7 @@
         (self._recovery.news if self._recovery else self.post)(event)
 
     def _remembered(self, listing: Listing) -> None:
-        if not self._told_list and listing.generation >= self._config.known.generation:
+        if not self._told_list:
             self._keep(listing, api.ListKind.REMEMBERED)
 
     def _listed(self, listing: Listing) -> None:
@@ -354,7 +354,8 @@
             self._group = group
             for action in self.brain.start(self.clock.now()):
                 self._carry_out(action)
-            self._keep(self._config.known, api.ListKind.REMEMBERED)
+            known = self._config.known
+            self._keep(self._recovery.near(known) if self._recovery else known, api.ListKind.REMEMBERED)
             if self._recovery:
                 if self._config.news:
                     self._recovery.at_start(self._config.news)
--- a/frostfall/net/disk.py
+++ b/frostfall/net/disk.py
@@ -7,7 +7,7 @@
 import os
 import re
 from collections import deque
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from time import monotonic
 from typing import Any
@@ -153,11 +153,7 @@
         """Take the folder and read all that is there; OSError where it cannot be used at all."""
         def read() -> None:
             self.folder.take()
-            self.journal.recover(pairs(), recall)
-
-        def pairs() -> Iterator[tuple[int, bytes]]:
-            for number in self.folder.numbers():
-                yield number, self.folder.load(number)
+            self.journal.recover(self.folder.numbers(), self.folder.load, recall)
 
         try:
             await self._blocking(read)
--- a/frostfall/net/group.py
+++ b/frostfall/net/group.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from itertools import count
 from time import monotonic
+from typing import Any
 
 import anyio
 
@@ -15,7 +16,19 @@
 from frostfall.config import Address
 from frostfall.net.clients import listen
 from frostfall.net.streams import ENDED, BackOff, Stream, connected
-from frostfall.protocol.group import NONCE, Ask, Beat, Message, Order, Report, Stranger, Tell, Wire
+from frostfall.protocol.group import (
+    NONCE,
+    Ask,
+    Beat,
+    Have,
+    Message,
+    Order,
+    Report,
+    Stranger,
+    Tell,
+    Want,
+    Wire,
+)
 
 WELCOME = 2.0  # seconds in which whoever connects has to show that it has the key
 BACK_OFF, BACK_OFF_MOST = 0.05, 0.4  # seconds between two tries to reach a member
@@ -36,6 +49,10 @@
 
 
 
+def _nothing(listing: Any) -> None:
+    """Nobody waits for a list."""
+
+
 class Line:
     """The connection to one member: a word every turn, and questions as they come up."""
 
@@ -53,6 +70,8 @@
         self._asked: dict[str, list[Callable[[Told | None], None]]] = {}
         self._out: dict[int, list[tuple[str, list[Callable[[Told | None], None]]]]] = {}
         self.up = False
+        self._wanted = False
+        self._have: Callable[[Any], None] = _nothing
         self._due, self._unanswered = 0.0, 0  # when the next word is due; words since the last answer
 
     def poke(self) -> None:
@@ -60,6 +79,11 @@
         self._due = 0.0
         self._wake.set()
 
+    def want_list(self, have: Callable[[Any], None]) -> None:
+        """Ask for the server list that the member has."""
+        self._have, self._wanted = have, True
+        self._wake.set()
+
     def ask(self, operation: str, told: Callable[[Told | None], None]) -> None:
         """Ask about an operation; told None where the connection ends first, or there is none."""
         if not self.up:
@@ -130,6 +154,9 @@
             await stream.send(wire.frame(beat))
         if self._asked:
             await self._put(stream, wire)
+        if self._wanted:
+            self._wanted = False
+            await stream.send(wire.frame(Want(next(self._numbers))))
         with anyio.move_on_after(max(self._due - monotonic(), MOMENT)):
             await self._wake.wait()
 
@@ -141,6 +168,8 @@
         await stream.send(wire.frame(Ask(number, names, *self._who())))
 
     def _take(self, message: Message) -> None:
+        if isinstance(message, Have):
+            self._have(message.listing)
         if isinstance(message, Beat):
             self.up, self._unanswered = True, 0
             self._heard(message)
--- a/frostfall/net/recovery.py
+++ b/frostfall/net/recovery.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 import time
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
@@ -25,7 +24,7 @@
 from frostfall.net.disk import Disk
 from frostfall.net.group import CALLERS_PART, Line, Listener, Told
 from frostfall.protocol.ending import Ending, Final
-from frostfall.protocol.group import Ask, Beat, Message, Order, Report, Tell
+from frostfall.protocol.group import Ask, Beat, Have, Message, Order, Report, Tell, Want
 from frostfall.protocol.listing import Listing
 from frostfall.protocol.pg import READY
 from frostfall.protocol.pg_client import Row
@@ -37,13 +36,14 @@
 from frostfall.recovery.gates import Facts, Gate, Gates, Stand
 from frostfall.recovery.ledger import Ledger, Operation, Way, Word
 from frostfall.recovery.rules import Group
+from frostfall.recovery.spread import Spread
 from frostfall.storage import frames
 from frostfall.storage.frames import Record, State
 from frostfall.storage.journal import Condition, Journal
 
 EARLY = 10_000  # microseconds before its deadline at which a try that waits is given up
 POLL = 0.05  # seconds between two questions about an operation that is under way elsewhere
-COME_AGAIN = 500  # milliseconds after which, half as much more at most, who is refused comes again
+AT_EASE = 100.0  # refusals a second for which the shortest time to come again will do
 CLOCK_APART = 5.0  # seconds between two clocks that are worth a line
 NOTE_EVERY = 25  # turns after which it is written down how far the others' records have come
 PAUSE_MOST = 3  # turns: a longer gap has been slept through
@@ -116,7 +116,7 @@
         assert isinstance(rules, Group)
         self.rules, self._front, self._clock, self._name = rules, front, clock, config.name
         self._effects = {kind.name: kind.effect for kind in config.settings.classes}
-        self._random = random.Random(config.seed ^ 0x5EED)
+        self._spread = Spread(AT_EASE, config.seed ^ 0x5EED)
         self.journal = Journal(config.name, rules.store, self._facts)
         self._parts = parts = parts or Parts()
         self._wall, self._steady = parts.wall, parts.steady
@@ -137,6 +137,8 @@
         window = config.settings.rollout.window if config.settings.rollout else 0
         self._window = window / 1e6
         self._relist: Callable[[Listing], None] = lambda listing: None
+        self._remembered = config.known  # the newest list that discovery has not confirmed
+        self._zone = config.settings.zone
         self._entries: dict[str, Any] = {}  # the list as it is, by instance
         self._generation, self._list_dirty = 0, False
         self._noted: set[str] = set()
@@ -196,7 +198,10 @@
         self.facts.read = True
         if self._list:
             try:
-                self._relist(msgspec.convert(self._list.listing, Listing))
+                kept = msgspec.convert(self._list.listing, Listing)
+                if kept.generation >= self._remembered.generation:
+                    self._remembered, self._generation = kept, max(self._generation, kept.generation)
+                    self._relist(self.near(kept))
                 _log.info("remembered list", age_s=round(self._wall() - self._list.at, 1))
             except msgspec.ValidationError as error:
                 _log.warning("remembered list cannot be read", why=str(error))
@@ -312,6 +317,7 @@
         here = set(self.members.here)
         facts.unheard = tuple(name for name in self.members.peers if name not in here)
         facts.window_over = now >= self._window
+        facts.contested = self.members.contested
         if self.members.replaced_by and not facts.replaced:
             facts.replaced = f"life {self.members.replaced_by} of this member has begun elsewhere"
             _log.error("replaced: this agent stops", why=facts.replaced)
@@ -324,6 +330,8 @@
         for gate in self.gates.judge(now, facts):
             point = self.gates.points[gate]
             _log.info("gate", gate=gate.value, stand=point.stand.value, why=point.why, after_s=round(now, 3))
+            if gate is Gate.READS and point.stand is Stand.OPEN and not facts.list_told:
+                self._relist(self._remembered)
             if gate is Gate.VOTES and point.stand is Stand.OPEN and self._news:
                 self._front.post(self._news)
 
@@ -342,7 +350,8 @@
                     self.facts.doubt if self._doubt_on_disk else "",
                     (self._last.incarnation, self._last.batch, self._last.token),
                     (kept.incarnation, kept.batch, kept.token), peer.health is Health.HERE,
-                    peer.remark or peer.outdated)
+                    peer.remark or peer.outdated, self._generation if self.facts.list_told else -1,
+                    self._gone_back)
 
     def _heard(self, beat: Beat) -> None:
         # Danger: held against a folder that has not been read yet, what others know of it looks like more.
@@ -370,10 +379,38 @@
             if beat.doubt and peer.outdated:  # it has that on disk itself by now
                 peer.outdated = ""
                 self._note(Seen(beat.name, life.incarnation, life.batch, life.token))
+        self._gone_back = max(self._gone_back, beat.gone_back)
+        if not self.facts.list_told and beat.list > self._generation and beat.name in self._lines:
+            self._generation = beat.list  # a member has had a newer one from discovery
+            self._lines[beat.name].want_list(self._list_of_others)
         if self.members.must_exceed > beyond:
             _log.warning("others knew later lives of this member", beyond=self.members.must_exceed)
         self._touch()
 
+    def _list_of_others(self, listing: Any) -> None:
+        """A hint like one's own remembered list, and a newer one."""
+        if listing is None or self.facts.list_told:
+            return
+        try:
+            told = msgspec.convert(listing, Listing)
+        except msgspec.ValidationError as error:
+            _log.warning("a member's list cannot be read", why=str(error))
+            return
+        # Servers may have other addresses for other agents: those that are known here stay.
+        own = {entry.instance_id: entry.host_port for entry in self._remembered.instances}
+        for entry in told.instances:
+            entry.host_port = own.get(entry.instance_id, entry.host_port)
+        self._remembered = told
+        _log.info("list of another member", generation=self._remembered.generation)
+        self._relist(self.near(self._remembered))
+
+    def near(self, listing: Listing) -> Listing:
+        """Of a list that discovery has not confirmed, what is in the own zone; all while nothing is."""
+        if self.gates.open(Gate.READS):
+            return listing
+        zone = [entry for entry in listing.instances if entry.zone == self._zone]
+        return Listing(listing.generation, listing.reset, zone or listing.instances)
+
     def _doubt(self) -> None:
         """Write down that the record proves nothing, once it is known."""
         if not self.members.outdated or self.facts.doubt or not self.disk.opened:
@@ -405,6 +442,8 @@
                 known = peer is not None and peer.kept.token == token and self.members.clear
                 return Tell(number, [self._asked(name, known) for name in names], self.members.token,
                             {name: each.kept.token for name, each in self.members.peers.items()})
+            case Want(number):
+                return Have(number, msgspec.to_builtins(self._whole()) if self.facts.list_told else None)
             case Order(number, what, who):
                 return Report(number, self._order(what, who))
         return None
@@ -486,10 +525,12 @@
         """Write the list down, if it has changed: once a turn at most."""
         if self._list_dirty and not self.journal.fault:
             self._list_dirty = False
-            whole = Listing(self._generation, True, list(self._entries.values()))
-            self._list = KnownList(self._wall(), msgspec.to_builtins(whole))
+            self._list = KnownList(self._wall(), msgspec.to_builtins(self._whole()))
             self._note(self._list)
 
+    def _whole(self) -> Listing:
+        return Listing(self._generation, True, list(self._entries.values()))
+
     def news(self, event: api.RolloutNews) -> None:
         """News of builds: handed on once votes may be cast, and exposure cannot be spent already."""
         if event.phase in (api.Phase.GOING_BACK, api.Phase.WITHDRAWN) and event.build > self._gone_back:
@@ -560,7 +601,7 @@
         return told.answer + READY if told.word is Word.SERVED and told.answer is not None else failed()
 
     def _come_again(self) -> bytes:
-        return refused(int(COME_AGAIN * self._random.uniform(1.0, 1.5)))
+        return refused(int(self._spread.next(self._steady()) * 1000))
 
     def _join(self, name: str, client: Waiting, request: str, deadline: int) -> None:
         one, operation = _Try(client, request), self.ledger.live[name]
@@ -595,7 +636,8 @@
         if operation.ask and not operation.cleared and not await self._ask(request, operation, deadline):
             return False
         # Danger: noted after the write, a disk that fails meanwhile would make it look as if there was none.
-        let = not over() and self.ledger.under_way(operation) and self.ledger.may_write(operation)
+        let = (not over() and self.ledger.under_way(operation) and self.ledger.may_write(operation)
+               and not self.members.contested and not self.members.replaced_by)
         operation.written = operation.written or let
         return let
 
--- a/frostfall/protocol/group.py
+++ b/frostfall/protocol/group.py
@@ -35,6 +35,8 @@
     kept: tuple[int, int, str]  # the same of the receiver, as it was last written down
     live: bool  # whether that life of the receiver is being heard
     outdated: str  # why the receiver's folder is older than what was known of it
+    list: int = -1  # the generation of the newest server list that the sender has had from discovery
+    gone_back: int = 0  # the newest build that the sender knows to have gone back
     number: int = 0  # of the question, 0 in what is no question
 
 
@@ -56,6 +58,19 @@
     lives: dict[str, str] = {}  # the tokens of all others' lives that it has on disk
 
 
+class Want(msgspec.Struct, tag="want", array_like=True):
+    """Give me the server list that you have."""
+
+    number: int
+
+
+class Have(msgspec.Struct, tag="have", array_like=True):
+    """The list, as the store keeps it; None where there is none."""
+
+    number: int
+    listing: Any
+
+
 class Order(msgspec.Struct, tag="order", array_like=True):
     """An operator's word, by the command line."""
 
@@ -71,8 +86,8 @@
     fields: dict[str, Any]
 
 
-Message = Beat | Ask | Tell | Order | Report
-_DECODER = msgspec.msgpack.Decoder(Beat | Ask | Tell | Order | Report)
+Message = Beat | Ask | Tell | Want | Have | Order | Report
+_DECODER = msgspec.msgpack.Decoder(Beat | Ask | Tell | Want | Have | Order | Report)
 
 
 class Stranger(Exception):
--- a/frostfall/recovery/gates.py
+++ b/frostfall/recovery/gates.py
@@ -72,6 +72,7 @@
     full: bool = False
     doubt: str = ""  # why the record proves nothing of what it does not hold
     replaced: str = ""
+    contested: int = 0  # a newer life of this member, which may be over
     window_over: bool = False  # what was sent to a trial before has left the window
     held: str = ""  # who holds votes
 
@@ -118,6 +119,8 @@
                       "" if facts.read else "the record is being read")
         if facts.replaced:
             self._set(Gate.IDENTITY, now, Stand.SHUT, facts.replaced)
+        elif facts.contested:
+            self._set(Gate.IDENTITY, now, Stand.WAITING, f"life {facts.contested} may be there elsewhere")
         elif facts.identity:
             self._set(Gate.IDENTITY, now, Stand.OPEN)
         else:
--- a/frostfall/storage/index.py
+++ b/frostfall/storage/index.py
@@ -44,7 +44,7 @@
         return self.count
 
     def _lay(self, slots: int) -> None:
-        self._keys, self._places = array("Q", bytes(8 * slots)), array("Q", bytes(8 * slots))
+        self._keys, self._places = array("Q", (0,)) * slots, array("Q", (0,)) * slots
         self._mask, self._used = slots - 1, 0
 
     def get(self, key: int) -> list[int]:
--- a/frostfall/storage/journal.py
+++ b/frostfall/storage/journal.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 from hashlib import blake2b
@@ -85,17 +85,16 @@
 
     # ---- the past ----------------------------------------------------------------------------------
 
-    def recover(self, segments: Iterable[tuple[int, bytes]], recall: Callable[[bytes], None]) -> None:
-        """Read what is there, oldest first; `recall` is handed each fact. Sets `condition`.
+    def recover(self, numbers: Sequence[int], load: Callable[[int], bytes],
+                recall: Callable[[bytes], None]) -> None:
+        """Read the segments that there are, oldest first; `recall` is handed each fact. Sets `condition`.
 
         What cannot be used is not read any further; what was read before it is known all the same.
         """
-        pairs = iter(segments)
-        here = next(pairs, None)
-        while here is not None and self.condition.usable:
-            following = next(pairs, None)
-            self._read(*here, following is None, recall)
-            here = following
+        for number in numbers:
+            if not self.condition.usable:
+                break
+            self._read(number, load(number), number == numbers[-1], recall)
         if self.condition.usable and self._segment and self._first not in self._began:
             self._bad(Condition.DAMAGED, f"segment {self._first} is missing")
         self._leave([each for each in self._began if each < self._first])
--- a/tests/test_power_loss.py
+++ b/tests/test_power_loss.py
@@ -10,10 +10,13 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import pytest
+from click.testing import CliRunner
 
 from frostfall.bench.check import Findings, check
 from frostfall.bench.cluster import Cluster
+from frostfall.cli import main
 
 
 @contextmanager
@@ -285,3 +288,57 @@
         cluster.gate("unsafe", "n0", since=since, stand="shut")
         why = cluster.wait("the record cannot be used: no unsafe work is taken", since=since, who="n0")["why"]
         assert "format 2, and this version reads up to 1" in why
+
+
+def test_a_member_without_list_and_discovery_has_the_newest_list_from_the_others(tmp_path: Path) -> None:
+    with running(tmp_path, waits={"list": 1.0}) as cluster:
+        cluster.kill()
+        cluster.lose("n0")
+        cluster.link("n0>discovery", cut=["forth", "back"])
+        since = cluster.now
+        cluster.start()
+        cluster.wait("list of another member", since=since, who="n0")
+        cluster.gate("unsafe", "n0", since=since)
+        assert cluster.told("n0", "by-hearsay") == "served"
+
+
+def test_all_folders_are_lost_at_once_and_nobody_takes_that_for_a_first_start(tmp_path: Path) -> None:
+    with running(tmp_path) as cluster:
+        assert cluster.told("n0", "forgotten") == "served"
+        cluster.kill()
+        for name in cluster.names:
+            cluster.lose(name)
+        cluster.configure(new=False)
+        since = cluster.now
+        cluster.start()
+        cluster.gate("unsafe", since=since)
+        cluster.wait("a majority has come back without its records", since=since)
+        assert cluster.told("n1", "forgotten", 2) == "failed"
+        assert cluster.told("n1", "first-try") == "served"
+        operator = str(tmp_path / "n0" / "operator.json5")
+        shown = CliRunner().invoke(main, ["group", "status", "--operator", operator, "n1"])
+        assert "in doubt" in shown.output and "gate unsafe: open" in shown.output
+        order = ["group", "accept", "--operator", operator, "--by", "x", *cluster.names]
+        done = CliRunner().invoke(main, order)
+        assert done.exit_code == 0, done.output
+        # Operators have said that clients are through: what nobody knows counts as never run from here on.
+        assert cluster.told("n2", "unknown-to-all", 2) == "served"
+        assert ran(cluster, "forgotten") == 1
+        missing = CliRunner().invoke(main, ["group", "status", "--operator", operator, "nobody"])
+        assert missing.exit_code == 1 and "no member" in missing.output
+
+
+def test_votes_wait_for_the_window_and_holds_outlive_a_power_loss(tmp_path: Path) -> None:
+    with running(tmp_path) as cluster:
+        cluster.gate("votes")
+        operator = str(tmp_path / "n0" / "operator.json5")
+        assert CliRunner().invoke(main, ["group", "hold", "--operator", operator, "n0"]).exit_code == 0
+        cluster.gate("votes", "n0", stand="waiting")
+        cluster.kill()
+        since = cluster.now
+        cluster.start()
+        cluster.gate("votes", "n1", "n2", since=since)
+        shown = CliRunner().invoke(main, ["group", "status", "--operator", operator, "--json", "n0"])
+        assert msgspec.json.decode(shown.output)["gates"]["votes"][1].startswith("held by")
+        assert CliRunner().invoke(main, ["group", "lift", "--operator", operator, "n0"]).exit_code == 0
+        cluster.gate("votes", "n0", since=since)
