--- a/frostfall/cli.py
+++ b/frostfall/cli.py
@@ -129,6 +129,29 @@
     measure.run(losses, schedules, records, rounds, against, out, click.echo)
 
 
+@bench.command("faults")
+@click.argument("script", type=click.Path(dir_okay=False, exists=True))
+@click.option("--out", type=click.Path(file_okay=False, path_type=Path), default=Path("bench-out/faults"),
+              show_default=True, help="A new folder for the agents' folders and the history.")
+def faults(script: str, out: Path) -> None:
+    """Play a script of faults (JSON5) on processes and check the history; exit with 1 on a finding."""
+    try:
+        import frostfall.bench.faults as play
+    except ImportError as error:
+        raise click.ClickException(f"{error}; install requirements-group.txt") from None
+    if out.exists():
+        raise click.ClickException(f"{out}: there already")
+    out.mkdir(parents=True)
+    try:
+        found = play.play(play.read(Path(script).read_text()), out)
+    except play.ScriptError as error:
+        raise click.ClickException(f"{script}: {error}") from None
+    for line in (*found.twice, *found.answers, *found.promises, *found.rules):
+        click.echo(line)
+    click.echo(f"{found.operations} operations, {found.ran} ran, {'clean' if found.clean else 'not clean'}")
+    sys.exit(0 if found.clean else 1)
+
+
 @main.group()
 def group() -> None:
     """See and steer a group of agents by its operator file's section `group`."""
--- a/frostfall/net/recovery.py
+++ b/frostfall/net/recovery.py
@@ -180,15 +180,11 @@
             _log.error("the record cannot be used: no unsafe work is taken", why=self.facts.unusable)
         else:
             try:
-                ticket = self.ledger.settle_past(self._payload)
+                self.facts.unsettled = self.ledger.settle_past(self._payload)
             except (OSError, ValueError) as error:
                 self.facts.unusable = self.ledger.doubt = f"an open operation cannot be read: {error}"
                 self.disk.opened = False
                 _log.error("the record cannot be used: no unsafe work is taken", why=self.facts.unusable)
-            else:
-                self.facts.unsettled = len(self.ledger.lost) if ticket else 0
-                if ticket:
-                    self.disk.when(ticket, self._settled)
         self._last.batch = self.journal.on_disk
         if self.journal.condition is Condition.FRESH and not self.rules.new and not self.facts.unusable:
             # Danger: with all folders lost at once, nobody is left to tell a lost one from a first start.
@@ -210,10 +206,6 @@
                   lost=len(self.ledger.lost), last_life=self._last.incarnation)
         self._touch()
 
-    def _settled(self, good: bool) -> None:
-        self.facts.unsettled = 0 if good else self.facts.unsettled
-        self._touch()
-
     def _payload(self, segment: int, offset: int) -> bytes:
         raw = self.disk.folder.part(segment, offset, 1024)
         record = frames.record_at(raw, self.journal.version_of(segment))
@@ -266,7 +258,7 @@
             if not await self.disk.durable(self._note(written.Life(number, token))):
                 return
             self.members.incarnation, self.members.token = number, token
-            self.facts.identity = True
+            self.facts.identity, self.facts.unsettled = True, 0
             self._touch()
             for line in self._lines.values():
                 line.poke()
@@ -350,8 +342,8 @@
                     self.facts.doubt if self._doubt_on_disk else "",
                     (self._last.incarnation, self._last.batch, self._last.token),
                     (kept.incarnation, kept.batch, kept.token), peer.health is Health.HERE,
-                    peer.remark or peer.outdated, self._generation if self.facts.list_told else -1,
-                    self._gone_back)
+                    peer.remark or peer.outdated, gone_back=self._gone_back,
+                    list=self._generation if self.facts.list_told else -1)
 
     def _heard(self, beat: Beat) -> None:
         # Danger: held against a folder that has not been read yet, what others know of it looks like more.
--- a/frostfall/protocol/group.py
+++ b/frostfall/protocol/group.py
@@ -35,9 +35,9 @@
     kept: tuple[int, int, str]  # the same of the receiver, as it was last written down
     live: bool  # whether that life of the receiver is being heard
     outdated: str  # why the receiver's folder is older than what was known of it
+    number: int = 0  # of the question, 0 in what is no question
     list: int = -1  # the generation of the newest server list that the sender has had from discovery
     gone_back: int = 0  # the newest build that the sender knows to have gone back
-    number: int = 0  # of the question, 0 in what is no question
 
 
 class Ask(msgspec.Struct, tag="ask", array_like=True):
--- a/frostfall/recovery/ledger.py
+++ b/frostfall/recovery/ledger.py
@@ -106,25 +106,26 @@
     # ---- a start -----------------------------------------------------------------------------------
 
     def settle_past(self, read: Callable[[int, int], bytes]) -> int:
-        """End what was open when the last life ended, as lost; the ticket of it, 0 where there was none.
+        """End what was open when the last life ended, as lost; how many that were.
 
-        `read` gives the payload at a segment and offset.
+        `read` gives the payload at a segment and offset. It is on disk with this life's first write, which
+        begins a segment: see `carried`.
         """
-        ticket = 0
+        count = 0
         for key, place in list(self.journal.index.items()):
             state = State(place & 7)
             if state not in (State.OPEN, State.LOST):
                 continue
             data = read(place >> 35, (place >> 3) & 0xFFFFFFFF)
             self.lost[name_in(data)] = place
-            if state is State.OPEN:
-                ticket = self.journal.append(Record(State.LOST, key, data, place))
-        return ticket
+            count += state is State.OPEN
+        return count
 
     def carried(self) -> Iterable[Record]:
         """Records that a new segment begins with: what is open, and what is lost for ever."""
         for name, operation in self.live.items():
-            if operation.ticket and operation.ended is None:
+            # Danger: an intent that still waits to be written would stand twice, its end replace one only.
+            if 0 < operation.ticket <= self.journal.durable and operation.ended is None:
                 yield Record(State.OPEN, operation.key, payload(name), self._place(name, operation.key))
         for name in self.lost:
             key = key_of(name)
