--- a/frostfall/recovery/ledger.py
+++ b/frostfall/recovery/ledger.py
@@ -112,7 +112,7 @@
         begins a segment: see `carried`.
         """
         count = 0
-        for key, place in list(self.journal.index.items()):
+        for _, place in list(self.journal.index.items()):
             state = State(place & 7)
             if state not in (State.OPEN, State.LOST):
                 continue
