--- /dev/null
+++ b/frostfall/copies/__init__.py
@@ -0,0 +1,1 @@
+"""Copies of what an agent holds for others, decided without I/O."""
--- /dev/null
+++ b/frostfall/copies/holding.py
@@ -0,0 +1,112 @@
+"""What a member keeps of other members' operations, and which of them their owners may not begin any more.
+
+A copy stands in the holder's own log under a name that no client can give. Whoever settles an operation of
+somebody who cannot be asked has it fenced at the holders that know nothing of it: from then on its owner gets
+no acknowledgement for it there, so that what was read stays true.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from frostfall.recovery.ledger import Look, Told, Word, answer_in, name_in, payload
+from frostfall.storage.frames import Record, State
+from frostfall.storage.journal import Journal, key_of
+
+MARK = "\0"  # no client's name holds it
+
+
+def kept_name(owner: str, name: str) -> str:
+    """The name of a copy in its holder's log."""
+    return f"{MARK}{owner}{MARK}{name}"
+
+
+def is_copy(name: str) -> bool:
+    """Whether a name in a log is that of a copy."""
+    return name.startswith(MARK)
+
+
+@dataclass(frozen=True, slots=True)
+class Item:
+    """What an owner asks to be kept: an operation's intent (OPEN) or its end."""
+
+    state: State
+    name: str
+    answer: bytes | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Kept:
+    """What became of an item: on disk with this ticket; `again`: only then can it be looked at."""
+
+    ticket: int
+    again: bool = False
+
+
+class Holding:
+    """One member's copies."""
+
+    def __init__(self, journal: Journal, look: Look) -> None:
+        """In this member's own log."""
+        self._journal, self._look = journal, look
+        self.open: dict[str, int] = {}  # copies of operations without an end, with their tickets
+        self._fencing: dict[str, int] = {}  # fences that are on their way to the disk, with their tickets
+
+    def keep(self, owner: str, item: Item) -> Kept | None:
+        """Keep an owner's item; None where the operation is fenced."""
+        name = kept_name(owner, item.name)
+        if name in self._fencing:
+            return None
+        if item.state is State.OPEN:
+            if name in self.open:
+                return Kept(self.open[name])
+            if (found := self._find(name)) is not None:
+                return None if found[0] is State.FENCED else Kept(0)
+            record = Record(State.OPEN, key_of(name), payload(name))
+            self.open[name] = self._journal.append(record)
+            return Kept(self.open[name])
+        if self.open.get(name, 0) > self._journal.durable:
+            # Its intent is on its way to the disk and has no place there yet that the end could take.
+            return Kept(self.open[name], again=True)
+        found = self._find(name)
+        if found is not None and found[0] is State.FENCED:
+            return None
+        self.open.pop(name, None)
+        if (found is None and item.state is State.NEVER) or (found is not None and found[0] is item.state):
+            return Kept(0)
+        data = payload(name, item.answer if item.state is State.SERVED else b"")
+        return Kept(self._journal.append(Record(item.state, key_of(name), data, found[2] if found else 0)))
+
+    def _find(self, name: str) -> tuple[State, bytes, int] | None:
+        return self._look(key_of(name), lambda data: name_in(data) == name)
+
+    def word(self, owner: str, name: str) -> Told:
+        """What the copies say of an owner's operation: an open one may have run."""
+        full = kept_name(owner, name)
+        if full in self.open:
+            return Told(Word.FAILED)
+        found = self._find(full)
+        if found is None or found[0] is State.FENCED:
+            return Told(Word.NONE)
+        return Told(Word.SERVED, answer_in(found[1])) if found[0] is State.SERVED else Told(Word.FAILED)
+
+    def fence(self, owner: str, name: str) -> int:
+        """Let an operation that is unknown here never be begun by its owner; the ticket to wait for."""
+        full = kept_name(owner, name)
+        if full in self._fencing:
+            return self._fencing[full]
+        if full in self.open or self._find(full) is not None:
+            return 0
+        self._fencing[full] = self._journal.append(Record(State.FENCED, key_of(full), payload(full)))
+        return self._fencing[full]
+
+    def fenced(self, owner: str, name: str) -> None:
+        """The fence is on disk: the log answers for it."""
+        self._fencing.pop(kept_name(owner, name), None)
+
+    def carried(self) -> Iterable[Record]:
+        """Open copies that are on disk: a new segment of the log begins with them."""
+        for name, ticket in self.open.items():
+            if ticket <= self._journal.durable and (found := self._find(name)):
+                yield Record(State.OPEN, key_of(name), payload(name), found[2])
--- a/frostfall/net/group.py
+++ b/frostfall/net/group.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import os
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass
 from itertools import count
@@ -11,6 +11,7 @@
 from typing import Any
 
 import anyio
+from anyio.abc import TaskGroup
 
 from frostfall import log
 from frostfall.config import Address
@@ -37,6 +38,7 @@
 CALLERS_PART = 4  # connections taken in for each member: its own, an old one that hangs, and operators
 
 _log = log.get("group")
+Reply = Message | None | Awaitable[Message]
 @dataclass(slots=True)
 class Told:
     """A word on an operation and its answer, and what the teller has on disk of the others' lives."""
@@ -69,6 +71,8 @@
         self._wake = anyio.Event()
         self._asked: dict[str, list[Callable[[Told | None], None]]] = {}
         self._out: dict[int, list[tuple[str, list[Callable[[Told | None], None]]]]] = {}
+        self._calls: list[tuple[Callable[[int], Message], Callable[[Message | None], None]]] = []
+        self._called: dict[int, Callable[[Message | None], None]] = {}
         self.up = False
         self._wanted = False
         self._have: Callable[[Any], None] = _nothing
@@ -92,6 +96,14 @@
         self._asked.setdefault(operation, []).append(told)
         self._wake.set()
 
+    def call(self, make: Callable[[int], Message], told: Callable[[Message | None], None]) -> None:
+        """Send what `make` makes of a number; told its answer, or None where the connection ends first."""
+        if not self.up:
+            told(None)
+            return
+        self._calls.append((make, told))
+        self._wake.set()
+
     async def run(self) -> None:
         """Keep the connection up, for good."""
         back_off = BackOff(BACK_OFF, BACK_OFF_MOST)
@@ -113,10 +125,15 @@
         self.up, self._due, self._unanswered = False, 0.0, 0
         waiting = [told for asked in self._out.values() for _, each in asked for told in each]
         waiting += [told for each in self._asked.values() for told in each]
+        calls = [*self._called.values(), *(told for _, told in self._calls)]
         self._out.clear()
         self._asked.clear()
+        self._called.clear()
+        self._calls.clear()
         for told in waiting:
             told(None)
+        for called in calls:
+            called(None)
 
     async def _speak(self, stream: Stream) -> bool:
         own = os.urandom(NONCE)
@@ -154,6 +171,11 @@
             await stream.send(wire.frame(beat))
         if self._asked:
             await self._put(stream, wire)
+        calls, self._calls = self._calls, []
+        for make, told in calls:
+            number = next(self._numbers)
+            self._called[number] = told
+            await stream.send(wire.frame(make(number)))
         if self._wanted:
             self._wanted = False
             await stream.send(wire.frame(Want(next(self._numbers))))
@@ -173,6 +195,8 @@
         if isinstance(message, Beat):
             self.up, self._unanswered = True, 0
             self._heard(message)
+        elif told := self._called.pop(getattr(message, "number", 0), None):
+            told(message)
         elif isinstance(message, Tell) and (asked := self._out.pop(message.number, None)):
             for (_, waiting), (word, answer) in zip(asked, message.told):
                 for each in waiting:
@@ -182,8 +206,8 @@
 class Listener:
     """Takes in the other members' connections, and operators'."""
 
-    def __init__(self, key: str, most: int, answer: Callable[[Message], Message | None]) -> None:
-        """`answer` gives what a message is answered with, if anything."""
+    def __init__(self, key: str, most: int, answer: Callable[[Message], Reply]) -> None:
+        """`answer` gives what a message is answered with, if anything, now or later."""
         self._key, self._most, self._answer = key, most, answer
         self._count = 0
 
@@ -213,9 +237,14 @@
             with anyio.fail_after(WELCOME):
                 while not first:
                     first = wire.feed(await stream.receive())
-            await self._answer_all(stream, wire, first)
-            while True:
-                await self._answer_all(stream, wire, wire.feed(await stream.receive()))
+            turn = anyio.Lock()
+            async with anyio.create_task_group() as group:
+                with suppress(Stranger, *ENDED):
+                    await self._answer_all(stream, wire, first, group, turn)
+                    while True:
+                        messages = wire.feed(await stream.receive())
+                        await self._answer_all(stream, wire, messages, group, turn)
+                group.cancel_scope.cancel()
         except (OSError, Stranger, *ENDED) as error:
             if isinstance(error, Stranger | TimeoutError):
                 _log.warning("a stranger was turned away", why=repr(error))
@@ -225,10 +254,23 @@
             self._count -= 1
             stream.close()
 
-    async def _answer_all(self, stream: Stream, wire: Wire, messages: list[Message]) -> None:
+    async def _answer_all(self, stream: Stream, wire: Wire, messages: list[Message], group: TaskGroup,
+                          turn: anyio.Lock) -> None:
         for message in messages:
-            if (answer := self._answer(message)) is not None:
-                await stream.send(wire.frame(answer))
+            answer = self._answer(message)
+            if isinstance(answer, Awaitable):
+                group.start_soon(self._later, stream, wire, answer, turn)
+            elif answer is not None:
+                await self._say(stream, wire, answer, turn)
+
+    async def _later(self, stream: Stream, wire: Wire, answer: Awaitable[Message], turn: anyio.Lock) -> None:
+        with suppress(*ENDED):
+            await self._say(stream, wire, await answer, turn)
+
+    async def _say(self, stream: Stream, wire: Wire, answer: Message, turn: anyio.Lock) -> None:
+        # Danger: frames are counted, and a long one goes out in parts: one at a time.
+        async with turn:
+            await stream.send(wire.frame(answer))
 
 
 async def order(address: Address, key: str, what: str, who: str = "") -> Report:
--- a/frostfall/net/recovery.py
+++ b/frostfall/net/recovery.py
@@ -18,13 +18,15 @@
 from frostfall import interface as api
 from frostfall import log
 from frostfall.config import Address, Config
+from frostfall.copies.holding import Holding, Item, is_copy
 from frostfall.limits.attention import Attention
 from frostfall.membership.members import Answer, Health, Life, Members
 from frostfall.net import disk
+from frostfall.net.copies import Copies
 from frostfall.net.disk import Disk
-from frostfall.net.group import CALLERS_PART, Line, Listener, Told
+from frostfall.net.group import CALLERS_PART, Line, Listener, Reply, Told
 from frostfall.protocol.ending import Ending, Final
-from frostfall.protocol.group import Ask, Beat, Have, Message, Order, Report, Tell, Want
+from frostfall.protocol.group import Ask, Beat, Copy, Have, Message, Order, Read, Report, Tell, Want
 from frostfall.protocol.listing import Listing
 from frostfall.protocol.pg import READY
 from frostfall.protocol.pg_client import Row
@@ -121,10 +123,15 @@
         self._parts = parts = parts or Parts()
         self._wall, self._steady = parts.wall, parts.steady
         self.disk = Disk(parts.folder(Path(rules.data)), self.journal, parts.steady, parts.blocking)
-        self.ledger = Ledger(self.journal, self.disk.find, rules.retries_marked, rules.store.answer_bytes)
+        self.ledger = Ledger(self.journal, self.disk.find, rules.retries_marked, rules.store.answer_bytes,
+                             rules.copies is not None)
+        self.holding = Holding(self.journal, self.disk.find)
         self.members = Members(config.name, tuple(member.name for member in rules.members), rules.turns)
         self.gates = Gates(len(rules.members), rules.retries_marked, rules.waits)
         self.facts = Facts()
+        zones = {member.name: member.zone for member in rules.members}
+        self.copies = Copies(config.name, rules.copies, zones, self.members, self.disk,
+                             self.holding) if rules.copies else None
         self._last = Life()  # one's own last life, as the folder says
         self._gone_back = 0
         self._list: KnownList | None = None
@@ -152,6 +159,8 @@
         self._relist, self._began = relist, self._steady()
         async with anyio.create_task_group() as group:
             self._group = group
+            if self.copies:
+                self.copies.group, self.copies.lines = group, self._lines
             group.start_soon(self._judge_on)
             group.start_soon(self._listen)
             await self._recover()
@@ -180,7 +189,7 @@
             _log.error("the record cannot be used: no unsafe work is taken", why=self.facts.unusable)
         else:
             try:
-                self.facts.unsettled = self.ledger.settle_past(self._payload)
+                self.facts.unsettled = self.ledger.settle_past(self._payload, self._open_copy)
             except (OSError, ValueError) as error:
                 self.facts.unusable = self.ledger.doubt = f"an open operation cannot be read: {error}"
                 self.disk.opened = False
@@ -206,6 +215,12 @@
                   lost=len(self.ledger.lost), last_life=self._last.incarnation)
         self._touch()
 
+    def _open_copy(self, name: str) -> bool:
+        """Whether this open operation is another member's; it stays open here until its owner ends it."""
+        if is_copy(name):
+            self.holding.open[name] = 0
+        return is_copy(name)
+
     def _payload(self, segment: int, offset: int) -> bytes:
         raw = self.disk.folder.part(segment, offset, 1024)
         record = frames.record_at(raw, self.journal.version_of(segment))
@@ -243,7 +258,8 @@
             kept.append(Hold(self.facts.held, True))
         if self._list:
             kept.append(self._list)
-        return [*(Record(State.FACT, 0, written.encode(fact)) for fact in kept), *self.ledger.carried()]
+        return [*(Record(State.FACT, 0, written.encode(fact)) for fact in kept), *self.ledger.carried(),
+                *self.holding.carried()]
 
     def _note(self, fact: Fact) -> int:
         ticket = self.journal.append(Record(State.FACT, 0, written.encode(fact)))
@@ -309,6 +325,8 @@
         here = set(self.members.here)
         facts.unheard = tuple(name for name in self.members.peers if name not in here)
         facts.window_over = now >= self._window
+        if self.copies:
+            facts.holders = self.copies.heard
         facts.contested = self.members.contested
         if self.members.replaced_by and not facts.replaced:
             facts.replaced = f"life {self.members.replaced_by} of this member has begun elsewhere"
@@ -424,22 +442,34 @@
             line.poke()
         self._touch()
 
-    def _answer(self, message: Message) -> Message | None:
+    def _answer(self, message: Message) -> Reply:
         match message:
             case Beat():
                 self._heard(message)
                 return self._beat(message.name)
             case Ask(number, names, sender, token):
-                peer = self.members.peers.get(sender)
-                known = peer is not None and peer.kept.token == token and self.members.clear
+                known = self._knows(sender, token)
                 return Tell(number, [self._asked(name, known) for name in names], self.members.token,
-                            {name: each.kept.token for name, each in self.members.peers.items()})
+                            self._lives())
+            case Copy() if self.copies and self.disk.opened and self.facts.read:
+                return self.copies.keep(message)
+            case Read(sender=sender, token=token) if self.copies and self.disk.opened and self.facts.read:
+                return self.copies.told(message, lambda: not self.facts.doubt and self._knows(sender, token),
+                                        self._lives())
             case Want(number):
                 return Have(number, msgspec.to_builtins(self._whole()) if self.facts.list_told else None)
             case Order(number, what, who):
                 return Report(number, self._order(what, who))
         return None
 
+    def _knows(self, sender: str, token: str) -> bool:
+        """Whether a member's present life is on disk here, and nobody's folder is in question."""
+        peer = self.members.peers.get(sender)
+        return peer is not None and peer.kept.token == token and self.members.clear
+
+    def _lives(self) -> dict[str, str]:
+        return {name: each.kept.token for name, each in self.members.peers.items()}
+
     def _asked(self, name: str, known: bool) -> tuple[str, bytes | None]:
         if not self.facts.read or not self.facts.identity:
             return Word.UNSURE.value, None
@@ -484,6 +514,7 @@
             "members": {name: [peer.health.value, peer.life.incarnation, peer.stage, peer.doubt,
                                round(peer.clock_ahead, 3)] for name, peer in self.members.peers.items()},
             "bytes": journal.bytes, "segments": journal.segments, "operations": len(journal.index),
+            "copies": len(self.holding.open), "holders": list(self.copies.ensemble) if self.copies else [],
             "open": len(self.ledger.live), "lost": len(self.ledger.lost), "held": self.facts.held,
             "commits": self.disk.commits,
         }
@@ -565,10 +596,14 @@
         elif way is Way.AGAIN:
             # Danger: it never ran here, but an earlier try may have run elsewhere.
             client.answer(failed() if again else self._come_again())
+        elif way is Way.ASK and sure and self.copies and (copy := self._copy_of(name)):
+            self.ledger.end(self.ledger.live[name], State.NEVER)
+            client.answer(self._told(copy))
         elif way is Way.JOIN:
             self._join(name, client, statement.request, deadline)
         elif self.gates.open(Gate.UNSAFE):
-            self._operations[statement.request] = self.ledger.live[name]
+            self._operations[statement.request] = operation = self.ledger.live[name]
+            operation.until = deadline - EARLY
             return False
         else:
             if sure:
@@ -577,6 +612,15 @@
             client.answer(failed() if again else self._come_again())
         return True
 
+    def _copy_of(self, name: str) -> operations.Told | None:
+        """The answer that another member gave, where its copy is here."""
+        try:
+            words = [self.holding.word(member, name) for member in self.members.peers]
+        except (OSError, ValueError) as error:
+            self._unreadable(error)
+            return None
+        return next((told for told in words if told.word is Word.SERVED and told.answer is not None), None)
+
     def knows(self, statement: Statement) -> bool:
         """Whether this asks again for an operation that is known here."""
         if self._effects[statement.class_name] is not api.Effect.UNSAFE or not self.facts.read:
@@ -618,9 +662,12 @@
             return True
         if not self.ledger.under_way(operation):
             return False
+        if self.copies and self.ledger.doubt and operation.ask and not operation.vouched and (
+                not await self._own_past(request, operation, deadline)):
+            return False
         ticket = self.ledger.intend(operation)
         self.disk.poke()
-        if not await self.disk.durable(ticket):
+        if not await self._down(operation, ticket, over, deadline):
             sure = operation.cleared or not operation.ask
             self._front.conclude(request, self._come_again() if sure else failed(),
                                  Final.REFUSED if sure else Final.FAILED)
@@ -633,6 +680,26 @@
         operation.written = operation.written or let
         return let
 
+    async def _down(self, operation: Operation, ticket: int, over: Callable[[], bool], deadline: int) -> bool:
+        """Wait until an intent is on disk here and, where copies are kept, at enough holders."""
+        if self.copies is None or operation.copied:
+            return await self.disk.durable(ticket)
+
+        def late() -> bool:
+            return over() or self._clock() >= deadline - EARLY
+
+        promised = [False]
+        async with anyio.create_task_group() as group:
+
+            async def promise() -> None:
+                assert self.copies
+                promised[0] = await self.copies.promise(Item(State.OPEN, operation.name), late)
+
+            group.start_soon(promise)
+            durable = await self.disk.durable(ticket)
+        operation.copied = promised[0]
+        return durable and promised[0]
+
     async def _ask(self, request: str, operation: Operation, deadline: int) -> bool:
         """Ask all others; whether nobody can have run it. Else the request has its answer, or will have."""
         others, name = list(self._lines), operation.name
@@ -655,6 +722,10 @@
         if operation.cleared:
             return True
         known = _ended(words)
+        if known is None and self.copies:
+            known = await self._settle(operation, words, others, deadline)
+            if operation.cleared:
+                return self.ledger.under_way(operation)
         under_way = [member for member, told in words.items() if told.word == Word.OPEN.value]
         if known is None and under_way:
             # Both have their intents down: this one steps back, and tells what becomes of the other.
@@ -670,6 +741,47 @@
         self._front.conclude(request, answer, Final.SERVED if served else Final.FAILED)
         return False
 
+    async def _settle(self, operation: Operation, words: dict[str, Told], others: list[str],
+                      deadline: int) -> operations.Told | None:
+        """What those who cannot tell have left at their holders; `cleared` where nobody can have run it."""
+        assert self.copies
+        none = {member: told for member, told in words.items() if told.word == Word.NONE.value}
+        silent = [member for member in others if member not in none
+                  and (member not in words or words[member].word == Word.UNSURE.value)]
+        if len(none) + len(silent) < len(others) or not self.members.clear or (
+                not self.members.agree({member: told.token for member, told in none.items()},
+                                       {member: told.lives for member, told in none.items()})):
+            return None
+        for member in silent:
+            told = await self.copies.settle(member, operation.name, True, self._left(deadline), self._sure)
+            if told is None or told.word is not Word.NONE:
+                return told
+        if self.ledger.doubt and not operation.vouched:
+            return None
+        operation.cleared = True
+        return None
+
+    async def _own_past(self, request: str, operation: Operation, deadline: int) -> bool:
+        """With a record that proves nothing: whether one's own holders know nothing of an operation either.
+
+        Asked before the present intent goes to them; nobody else writes under this member's name.
+        """
+        assert self.copies
+        told = await self.copies.settle(self._name, operation.name, False, self._left(deadline), self._sure)
+        operation.vouched = told is not None and told.word is Word.NONE
+        if not operation.vouched:
+            served = told is not None and told.word is Word.SERVED and told.answer is not None
+            self._front.conclude(request, self._told(told) if told else failed(),
+                                 Final.SERVED if served else Final.FAILED)
+        return operation.vouched
+
+    def _left(self, deadline: int) -> float:
+        """Seconds until a request has to be given up."""
+        return max(deadline - EARLY - self._clock(), 0) / 1e6
+
+    def _sure(self) -> bool:
+        return not self.facts.doubt and self.members.clear
+
     async def _words(self, name: str, members: list[str], within: float) -> dict[str, Told]:
         found: dict[str, Told] = {}
         missing = set(members)
@@ -747,12 +859,17 @@
             return
         ticket = self.ledger.end(operation, state, answer)
         given = None if answer is None else answer + READY
+        copied = self.copies is not None and ticket > 0
+        if self.copies and copied and state is not State.SERVED:
+            self.copies.tell(Item(state, operation.name))
 
         def on_disk(good: bool) -> None:
             more = self.ledger.done(operation) if good else 0
             if more:
                 self.disk.when(more, on_disk)
                 self.disk.poke()
+            elif given is not None and copied and self._group:
+                self._group.start_soon(self._copied, operation, answer, given)
             elif given is not None:
                 # Where the disk has failed the row is still true, and who asks again is told no less.
                 self._tell(operation, given)
@@ -763,6 +880,15 @@
         elif given is not None:
             self._tell(operation, given)
 
+    async def _copied(self, operation: Operation, answer: bytes | None, given: bytes) -> None:
+        """Give a served answer once enough holders have it."""
+        assert self.copies
+        kept = answer if answer is not None and len(answer) <= self.rules.store.answer_bytes else None
+        item = Item(State.SERVED, operation.name, kept)
+        # Settled by others meanwhile, it was told to have perhaps run: that is what this client is told too.
+        good = await self.copies.promise(item, lambda: self._clock() >= operation.until)
+        self._tell(operation, given if good else failed())
+
     def _tell(self, operation: Operation, answer: bytes) -> None:
         waiting, operation.waiting = operation.waiting, []
         for one in waiting:
--- a/frostfall/protocol/group.py
+++ b/frostfall/protocol/group.py
@@ -58,6 +58,34 @@
     lives: dict[str, str] = {}  # the tokens of all others' lives that it has on disk
 
 
+class Copy(msgspec.Struct, tag="copy", array_like=True):
+    """Keep this operation of the sender's: its state, name and answer."""
+
+    number: int
+    owner: str
+    state: int
+    name: str
+    answer: bytes | None
+
+
+class Copied(msgspec.Struct, tag="copied", array_like=True):
+    """It is on disk; or `refused`: others have settled it."""
+
+    number: int
+    refused: bool
+
+
+class Read(msgspec.Struct, tag="read", array_like=True):
+    """Tell what the copies of an owner's operation say; fence it where they say nothing, if told so."""
+
+    number: int
+    owner: str
+    name: str
+    fence: bool
+    sender: str
+    token: str  # of the sender's life
+
+
 class Want(msgspec.Struct, tag="want", array_like=True):
     """Give me the server list that you have."""
 
@@ -86,8 +114,8 @@
     fields: dict[str, Any]
 
 
-Message = Beat | Ask | Tell | Want | Have | Order | Report
-_DECODER = msgspec.msgpack.Decoder(Beat | Ask | Tell | Want | Have | Order | Report)
+Message = Beat | Ask | Tell | Copy | Copied | Read | Want | Have | Order | Report
+_DECODER = msgspec.msgpack.Decoder(Beat | Ask | Tell | Copy | Copied | Read | Want | Have | Order | Report)
 
 
 class Stranger(Exception):
--- a/frostfall/recovery/facts.py
+++ b/frostfall/recovery/facts.py
@@ -82,6 +82,8 @@
     "own incarnation": (Trust.FACT, "the next life's is higher, also than any that others saw"),
     "intents of unsafe work": (Trust.FACT, "one without an end may have run: failed, never sent again"),
     "outcomes and answers given": (Trust.FACT, "given again to who asks with the operation's name"),
+    "copies of others' operations": (Trust.FACT, "an open one may have run, whoever settles it"),
+    "fences": (Trust.FACT, "what was settled as never begun is not begun by its owner"),
     "builds that went back": (Trust.FACT, "no vote for them until the platform tells of a newer one"),
     "holds of operators": (Trust.FACT, "stand until operators lift them"),
     "members' lives as seen": (Trust.FACT, "an older life that speaks is told so"),
--- a/frostfall/recovery/gates.py
+++ b/frostfall/recovery/gates.py
@@ -70,6 +70,7 @@
     unsettled: int = 0
     fault: str = ""  # why nothing can be written any more
     full: bool = False
+    holders: tuple[int, int] = (0, 0)  # of copies: how many are heard, and how many a promise needs
     doubt: str = ""  # why the record proves nothing of what it does not hold
     replaced: str = ""
     contested: int = 0  # a newer life of this member, which may be over
@@ -170,6 +171,8 @@
         if gate is Gate.READS_NEAR and not facts.list_known:
             return "no server is known"
         if gate is Gate.UNSAFE:
+            if facts.holders[0] < facts.holders[1]:
+                return f"{facts.holders[0]} holders of copies are heard, {facts.holders[1]} are needed"
             if facts.full:
                 return "the folder has reached its bound"
             if facts.doubt and not self.marked:
--- a/frostfall/recovery/ledger.py
+++ b/frostfall/recovery/ledger.py
@@ -77,11 +77,14 @@
     key: int
     ask: bool  # whether others are to be asked
     cleared: bool = False  # nobody can have run it
+    copied: bool = True  # enough others have the intent on disk
+    vouched: bool = False  # where the own record proves nothing, its copies have been asked instead
     ticket: int = 0  # of the intent; 0 before there is one
     waiting_for: set[str] = field(default_factory=set)  # members that have not answered yet
     ended: State | None = None
     answer: bytes | None = None
     end_ticket: int = 0  # of the end's record; 0 while there is none
+    until: int = 0  # microseconds of the owner's clock: when its client stops waiting
     written: bool = False  # an attempt was let go out
     may_have_run: bool = False  # an attempt has ended without proof that it never ran
     waiting: list[Any] = field(default_factory=list)  # the owner's: whom to tell the end
@@ -89,15 +92,20 @@
     @property
     def may_write(self) -> bool:
         """Whether all but the intent's sync allows a write."""
-        return self.ended is None and (self.cleared or not self.ask)
+        return self.ended is None and self.copied and (self.cleared or not self.ask)
 
 
 class Ledger:
     """What one agent knows of operations."""
 
-    def __init__(self, journal: Journal, look: Look, marked: bool, answer_most: int = 4096) -> None:
-        """`look` finds in the log; `marked`: clients mark all tries but an operation's first."""
+    def __init__(self, journal: Journal, look: Look, marked: bool, answer_most: int = 4096,
+                 copied: bool = False) -> None:
+        """`look` finds in the log; `marked`: clients mark all tries but an operation's first.
+
+        `copied`: others keep copies of intents, and a write waits for them.
+        """
         self.journal, self._look, self.marked, self._answer_most = journal, look, marked, answer_most
+        self._copied = copied
         self.live: dict[str, Operation] = {}
         self.ceded: dict[str, None] = {}  # told to be unknown here, in this life
         self.lost: dict[str, int] = {}  # open when an earlier life ended, with their places
@@ -105,11 +113,12 @@
 
     # ---- a start -----------------------------------------------------------------------------------
 
-    def settle_past(self, read: Callable[[int, int], bytes]) -> int:
+    def settle_past(self, read: Callable[[int, int], bytes], copies: Callable[[str], bool]) -> int:
         """End what was open when the last life ended, as lost; how many that were.
 
         `read` gives the payload at a segment and offset. It is on disk with this life's first write, which
-        begins a segment: see `carried`.
+        begins a segment: see `carried`. `copies` takes the names of open copies of others, which are not
+        this member's to settle.
         """
         count = 0
         for _, place in list(self.journal.index.items()):
@@ -117,6 +126,8 @@
             if state not in (State.OPEN, State.LOST):
                 continue
             data = read(place >> 35, (place >> 3) & 0xFFFFFFFF)
+            if state is State.OPEN and copies(name_in(data)):
+                continue
             self.lost[name_in(data)] = place
             count += state is State.OPEN
         return count
@@ -165,7 +176,7 @@
         told = self.known(name)
         if told is None:
             ask = again or not self.marked or name in self.ceded
-            self.live[name] = Operation(name, key_of(name), ask)
+            self.live[name] = Operation(name, key_of(name), ask, copied=not self._copied)
             return (Way.ASK if ask else Way.NEW), None
         return (Way.JOIN if told.word is Word.OPEN else Way.TOLD), told
 
@@ -227,16 +238,20 @@
             told = self.known(name)
             if told is not None:
                 return told
-        if self.doubt:
-            return Told(Word.UNSURE)
         if self.marked:  # else all are asked about all
             # Danger: a first try may still lie unread in a buffer here. Once this member has said that it
             # knows nothing of the operation, it must not begin it without asking.
             self.ceded[name] = None
             if len(self.ceded) > CEDED_MOST:
-                self.marked = False
-                self.ceded.clear()
-        return Told(Word.NONE)
+                self.ask_about_all()
+        return Told(Word.UNSURE if self.doubt else Word.NONE)
+
+    def ask_about_all(self) -> None:
+        """From now on, in this life, others are asked before any operation is begun."""
+        self.marked = False
+        self.ceded.clear()
+        for operation in self.live.values():
+            operation.ask = operation.ask or (operation.ended is None and not operation.written)
 
     def ask(self, operation: Operation, members: Iterable[str]) -> None:
         """These members are asked now."""
@@ -248,4 +263,4 @@
         """A member has answered: with the last NONE of all, nobody can have run it."""
         if told.word is Word.NONE and member in operation.waiting_for and operation.ended is None:
             operation.waiting_for.discard(member)
-            operation.cleared = not operation.waiting_for and not self.doubt
+            operation.cleared = not operation.waiting_for and (not self.doubt or operation.vouched)
--- a/frostfall/recovery/rules.py
+++ b/frostfall/recovery/rules.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from frostfall.copies.rules import Copies
 from frostfall.storage.rules import Store
 
 _NAME = re.compile(r"[0-9A-Za-z_.:-]{1,64}\Z")
@@ -82,6 +83,7 @@
     new: bool = False  # the group is being set up: an empty folder is a first start, and no lost one
     retries_marked: bool = False  # operators' word that clients mark every try after an operation's first
     store: Store = Store()
+    copies: Copies | None = None  # without it, an agent's record is on its own disk alone
     turns: Turns = Turns()
     waits: Waits = Waits()
 
@@ -103,6 +105,9 @@
                 raise ValueError(f"members: address {each} stands twice")
         if self.listen:
             _address(self.listen, "listen")
+        if self.copies and len(self.members) <= self.copies.acknowledged:
+            raise ValueError(f"copies: {self.copies.acknowledged} other members are to acknowledge, "
+                             f"and there are {len(self.members) - 1}")
         if self.operation and not _FIELD.match(self.operation):
             raise ValueError(f"operation: {self.operation!r} is no name of a comment's field")
 
--- a/frostfall/storage/frames.py
+++ b/frostfall/storage/frames.py
@@ -48,6 +48,7 @@
     SERVED = 2  # ended, with an answer
     FAILED = 3  # ended, and it may have run
     NEVER = 4  # ended, and it never ran: as if it had not been
+    FENCED = 6  # of a copy: settled by others as never begun, and never to be begun by its owner
     LOST = 5  # open when the owner's life ended: it may have run, and nobody will ever know
 
 
@@ -220,6 +221,6 @@
     if len(raw) < shape.size:
         return None
     length, state, key, *_ = shape.unpack_from(raw)
-    if len(raw) < shape.size + length or state > State.LOST:
+    if len(raw) < shape.size + length or state > State.FENCED:
         return None
     return State(state), key, raw[shape.size:shape.size + length]
