--- a/frostfall/net/recovery.py
+++ b/frostfall/net/recovery.py
@@ -310,7 +310,9 @@
 
     async def _judge_on(self) -> None:
         while True:
-            self._changed = anyio.Event()
+            if self._changed.is_set():
+                # Danger: replaced before it is set, it would leave who waits for it waiting for good.
+                self._changed = anyio.Event()
             self._judge()
             with anyio.move_on_after(0.1):
                 await self._changed.wait()
@@ -591,7 +593,10 @@
             self._unreadable(error)
             client.answer(failed())
             return True
-        if way is Way.TOLD and told:
+        if way is Way.TOLD and told and told.word is Word.FAILED and self._group and self._lines:
+            # It may have run by this member's hand, and another one may know that it did.
+            self._group.start_soon(self._look_up, name, _Try(client, statement.request), deadline)
+        elif way is Way.TOLD and told:
             client.answer(self._told(told))
         elif way is Way.AGAIN:
             # Danger: it never ran here, but an earlier try may have run elsewhere.
@@ -609,7 +614,12 @@
             if sure:
                 self.ledger.end(self.ledger.live[name], State.NEVER)
             # Danger: an earlier try may have run, so that to call another one harmless could be a lie.
-            client.answer(failed() if again else self._come_again())
+            if not again:
+                client.answer(self._come_again())
+            elif self._group and self._lines:
+                self._group.start_soon(self._look_up, name, _Try(client, statement.request), deadline)
+            else:
+                client.answer(failed())
         return True
 
     def _copy_of(self, name: str) -> operations.Told | None:
@@ -668,6 +678,9 @@
         ticket = self.ledger.intend(operation)
         self.disk.poke()
         if not await self._down(operation, ticket, over, deadline):
+            if operation.fenced:  # others have settled it, and know more
+                await self._find_out(request, operation, deadline)
+                return False
             sure = operation.cleared or not operation.ask
             self._front.conclude(request, self._come_again() if sure else failed(),
                                  Final.REFUSED if sure else Final.FAILED)
@@ -698,6 +711,7 @@
             group.start_soon(promise)
             durable = await self.disk.durable(ticket)
         operation.copied = promised[0]
+        operation.fenced = not promised[0] and not late()
         return durable and promised[0]
 
     async def _ask(self, request: str, operation: Operation, deadline: int) -> bool:
@@ -741,6 +755,34 @@
         self._front.conclude(request, answer, Final.SERVED if served else Final.FAILED)
         return False
 
+    async def _find_out(self, request: str, operation: Operation, deadline: int) -> None:
+        """Give a request what others know of its operation, which is not to be begun here."""
+        self._end(operation, State.NEVER)
+        known = await self._known_elsewhere(operation.name, deadline)
+        served = known is not None and known.word is Word.SERVED and known.answer is not None
+        self._front.conclude(request, self._told(known) if known else failed(),
+                             Final.SERVED if served else Final.FAILED)
+
+    async def _look_up(self, name: str, one: _Try, deadline: int) -> None:
+        """The same for a try that came while no unsafe work is taken here."""
+        known = await self._known_elsewhere(name, deadline)
+        one.tell(self._told(known) if known else failed())
+
+    async def _known_elsewhere(self, name: str, deadline: int) -> operations.Told | None:
+        """How an operation ended, by the others' word or what they hold for those that cannot tell."""
+        others, within = list(self._lines), min(self.rules.waits.ask, self._left(deadline))
+        words = await self._words(name, others, within)
+        known = _ended(words)
+        if known is None and self.copies:
+            for member in [self._name, *others]:
+                if member == self._name or member not in words or words[member].word == Word.UNSURE.value:
+                    within = min(self.rules.waits.ask, self._left(deadline))
+                    known = await self.copies.settle(member, name, False, within, self._sure)
+                    if known is not None and known.word in (Word.SERVED, Word.FAILED):
+                        return known
+                    known = None
+        return known
+
     async def _settle(self, operation: Operation, words: dict[str, Told], others: list[str],
                       deadline: int) -> operations.Told | None:
         """What those who cannot tell have left at their holders; `cleared` where nobody can have run it."""
@@ -753,7 +795,8 @@
                                        {member: told.lives for member, told in none.items()})):
             return None
         for member in silent:
-            told = await self.copies.settle(member, operation.name, True, self._left(deadline), self._sure)
+            within = min(self.rules.waits.ask, self._left(deadline))
+            told = await self.copies.settle(member, operation.name, True, within, self._sure)
             if told is None or told.word is not Word.NONE:
                 return told
         if self.ledger.doubt and not operation.vouched:
@@ -767,7 +810,8 @@
         Asked before the present intent goes to them; nobody else writes under this member's name.
         """
         assert self.copies
-        told = await self.copies.settle(self._name, operation.name, False, self._left(deadline), self._sure)
+        within = min(self.rules.waits.ask, self._left(deadline))
+        told = await self.copies.settle(self._name, operation.name, False, within, self._sure)
         operation.vouched = told is not None and told.word is Word.NONE
         if not operation.vouched:
             served = told is not None and told.word is Word.SERVED and told.answer is not None
@@ -796,7 +840,7 @@
             missing.discard(member)
             if word is not None:
                 found[member] = word
-            if not missing or (word is not None and word.word in (Word.SERVED.value, Word.FAILED.value)):
+            if not missing or (word is not None and word.word == Word.SERVED.value):
                 all_there.set()
 
         lost = list(members)
--- a/frostfall/recovery/ledger.py
+++ b/frostfall/recovery/ledger.py
@@ -78,6 +78,7 @@
     ask: bool  # whether others are to be asked
     cleared: bool = False  # nobody can have run it
     copied: bool = True  # enough others have the intent on disk
+    fenced: bool = False  # a holder refuses it: others have settled it as never begun here
     vouched: bool = False  # where the own record proves nothing, its copies have been asked instead
     ticket: int = 0  # of the intent; 0 before there is one
     waiting_for: set[str] = field(default_factory=set)  # members that have not answered yet
