--- /dev/null
+++ b/frostfall/agreement/register.py
@@ -0,0 +1,61 @@
+"""What the group agrees on: keys with values and versions, changed only by who knows the version.
+
+A command that names another version than the present one changes nothing, and who proposed it is told: so a
+decision that was made on old knowledge has no effect. Versions only grow, also over a removal.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+
+class Put(msgspec.Struct, frozen=True, tag="put", array_like=True):
+    """Set a key, if it has this version (0: if it was never set); `who` and `number` name the command."""
+
+    key: str
+    value: Any
+    version: int
+    who: str
+    number: int
+
+
+class Cell(msgspec.Struct, frozen=True, array_like=True):
+    """A value; None where it was removed."""
+
+    value: Any
+    version: int
+
+
+class Register:
+    """The state; the same commands in the same order give the same one."""
+
+    def __init__(self, state: Any = None) -> None:
+        """Empty, or as a snapshot left it."""
+        self._cells: dict[str, Cell] = {}
+        self._done: dict[str, tuple[int, bool]] = {}  # by proposer: the last command and whether it was good
+        if state is not None:
+            cells, done = msgspec.convert(state, tuple[dict[str, Cell], dict[str, tuple[int, bool]]])
+            self._cells, self._done = cells, done
+
+    def get(self, key: str) -> Cell:
+        """A key's value and version; version 0 where it was never set."""
+        return self._cells.get(key, Cell(None, 0))
+
+    def apply(self, command: Any) -> bool:
+        """Carry a command out; whether it changed the key. One that comes twice counts once."""
+        put = msgspec.convert(command, Put) if not isinstance(command, Put) else command
+        number, good = self._done.get(put.who, (0, False))
+        if put.number <= number:
+            return good and put.number == number
+        cell = self.get(put.key)
+        good = cell.version == put.version
+        if good:
+            self._cells[put.key] = Cell(put.value, cell.version + 1)
+        self._done[put.who] = put.number, good
+        return good
+
+    def state(self) -> Any:
+        """All of it, for a snapshot."""
+        return msgspec.to_builtins((self._cells, self._done))
