--- a/frostfall/agreement/register.py
+++ b/frostfall/agreement/register.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Any
 
 import msgspec
@@ -43,6 +44,10 @@
         """A key's value and version; version 0 where it was never set."""
         return self._cells.get(key, Cell(None, 0))
 
+    def items(self) -> Iterable[tuple[str, Cell]]:
+        """All keys that have a value."""
+        return [(key, cell) for key, cell in sorted(self._cells.items()) if cell.value is not None]
+
     def apply(self, command: Any) -> bool:
         """Carry a command out; whether it changed the key. One that comes twice counts once."""
         put = msgspec.convert(command, Put) if not isinstance(command, Put) else command
--- a/frostfall/cli.py
+++ b/frostfall/cli.py
@@ -172,6 +172,36 @@
     return rules.key, [(name, known[name]) for name in who or known]
 
 
+@group.command("put")
+@click.option("--operator", envvar="FROSTFALL_OPERATOR", required=True, type=click.Path(dir_okay=False),
+              help="An operator file with a section `group` and `agreement`.")
+@click.option("--by", default=lambda: os.environ.get("USER", "operator"), help="Who says so.")
+@click.argument("key")
+@click.argument("value")
+def group_put(operator: str, by: str, key: str, value: str) -> None:
+    """Set a key of the register that members keep in common, at whoever leads."""
+    import anyio
+
+    from frostfall.net import group as link
+    from frostfall.net.streams import ENDED
+    from frostfall.protocol.group import Stranger
+
+    shared, members = _members(operator, ())
+    why = "nobody leads"
+    for name, address in members:
+        try:
+            fields = anyio.run(link.order, address, shared, "put", by, key, value).fields
+        except (OSError, Stranger, *ENDED) as error:
+            why = f"{name}: not reached: {error or type(error).__name__}"
+            continue
+        if fields.get("put"):
+            click.echo(f"{key}: version {fields['register'][key][1]}, by {name} in term {fields['term']}")
+            return
+        if fields.get("put") is False:
+            why = f"{name} lost the lead, or the key was changed meanwhile; see `frostfall group status`"
+    raise click.ClickException(why)
+
+
 def _order(operator: str, who: tuple[str, ...], what: str, by: str, as_json: bool) -> None:
     """Say something to members, and show how they stand; exit with 1 where one is not reached."""
     import anyio
@@ -206,6 +236,10 @@
     lines += [f"  member {name}: {health}, life {life}{', waits for ' + stage if stage else ''}"
               f"{', in doubt: ' + doubt if doubt else ''}, clock {ahead:+.1f} s"
               for name, (health, life, stage, doubt, ahead) in fields["members"].items()]
+    if "leader" in fields:
+        lines.append(f"  register: led by {fields['leader'] or 'nobody'} in term {fields['term']}")
+        lines += [f"    {key} = {value} (version {version})" for key, (value, version)
+                  in fields["register"].items()]
     return "\n".join(lines)
 
 
--- a/frostfall/net/group.py
+++ b/frostfall/net/group.py
@@ -72,6 +72,7 @@
         self._asked: dict[str, list[Callable[[Told | None], None]]] = {}
         self._out: dict[int, list[tuple[str, list[Callable[[Told | None], None]]]]] = {}
         self._calls: list[tuple[Callable[[int], Message], Callable[[Message | None], None]]] = []
+        self._posts: list[Message] = []
         self._called: dict[int, Callable[[Message | None], None]] = {}
         self.up = False
         self._wanted = False
@@ -104,6 +105,12 @@
         self._calls.append((make, told))
         self._wake.set()
 
+    def post(self, message: Message) -> None:
+        """Send what nothing answers; it is lost where the connection is down."""
+        if self.up:
+            self._posts.append(message)
+            self._wake.set()
+
     async def run(self) -> None:
         """Keep the connection up, for good."""
         back_off = BackOff(BACK_OFF, BACK_OFF_MOST)
@@ -130,6 +137,7 @@
         self._asked.clear()
         self._called.clear()
         self._calls.clear()
+        self._posts.clear()
         for told in waiting:
             told(None)
         for called in calls:
@@ -171,6 +179,9 @@
             await stream.send(wire.frame(beat))
         if self._asked:
             await self._put(stream, wire)
+        posts, self._posts = self._posts, []
+        for message in posts:
+            await stream.send(wire.frame(message))
         calls, self._calls = self._calls, []
         for make, told in calls:
             number = next(self._numbers)
@@ -273,7 +284,8 @@
             await stream.send(wire.frame(answer))
 
 
-async def order(address: Address, key: str, what: str, who: str = "") -> Report:
+async def order(address: Address, key: str, what: str, who: str = "", name: str = "",
+                value: str = "") -> Report:
     """An operator's word to one member; OSError, Stranger or the end of the stream where it fails."""
     async with connected(address) as stream:
         own = os.urandom(NONCE)
@@ -282,7 +294,7 @@
         with anyio.fail_after(WELCOME):
             while not wire.ready:
                 wire.feed(await stream.receive())
-            await stream.send(wire.frame(Order(1, what, who)))
+            await stream.send(wire.frame(Order(1, what, who, name, value)))
             while True:
                 for message in wire.feed(await stream.receive()):
                     if isinstance(message, Report):
--- a/frostfall/net/recovery.py
+++ b/frostfall/net/recovery.py
@@ -22,11 +22,12 @@
 from frostfall.limits.attention import Attention
 from frostfall.membership.members import Answer, Health, Life, Members
 from frostfall.net import disk
+from frostfall.net.agreement import Agreement
 from frostfall.net.copies import Copies
 from frostfall.net.disk import Disk
 from frostfall.net.group import CALLERS_PART, Line, Listener, Reply, Told
 from frostfall.protocol.ending import Ending, Final
-from frostfall.protocol.group import Ask, Beat, Copy, Have, Message, Order, Read, Report, Tell, Want
+from frostfall.protocol.group import Agree, Ask, Beat, Copy, Have, Message, Order, Read, Report, Tell, Want
 from frostfall.protocol.listing import Listing
 from frostfall.protocol.pg import READY
 from frostfall.protocol.pg_client import Row
@@ -129,15 +130,18 @@
         self.members = Members(config.name, tuple(member.name for member in rules.members), rules.turns)
         self.gates = Gates(len(rules.members), rules.retries_marked, rules.waits)
         self.facts = Facts()
+        self._lines: dict[str, Line] = {}
         zones = {member.name: member.zone for member in rules.members}
         self.copies = Copies(config.name, rules.copies, zones, self.members, self.disk,
                              self.holding) if rules.copies else None
+        names = tuple(sorted(member.name for member in rules.members))
+        self.agreement = Agreement(config.name, names, self.disk, self._note, self._lines,
+                                   config.seed) if rules.agreement else None
         self._last = Life()  # one's own last life, as the folder says
         self._gone_back = 0
         self._list: KnownList | None = None
         self._news: api.RolloutNews | None = None
         self._operations: dict[str, Operation] = {}  # by request
-        self._lines: dict[str, Line] = {}
         self._group: TaskGroup | None = None
         self._changed = anyio.Event()
         self._began = self._steady()
@@ -176,6 +180,10 @@
                         self._lines[member.name] = line
                         group.start_soon(line.run)
                 group.start_soon(self._turns)
+                if self.agreement and not self.facts.doubt:
+                    group.start_soon(self.agreement.run)
+                elif self.agreement:
+                    _log.error("no part in agreement: this member may have voted otherwise before")
 
     async def _recover(self) -> None:
         try:
@@ -241,6 +249,9 @@
                 self._gone_back = max(self._gone_back, build)
             case Hold(who, on):
                 self.facts.held = who if on else ""
+            case written.Voted() | written.Ruled() | written.Agreed() as fact:
+                if self.agreement:
+                    self.agreement.recall(fact)
             case KnownList() as known:
                 self._list = known
 
@@ -258,6 +269,8 @@
             kept.append(Hold(self.facts.held, True))
         if self._list:
             kept.append(self._list)
+        if self.agreement:
+            kept += self.agreement.facts()
         return [*(Record(State.FACT, 0, written.encode(fact)) for fact in kept), *self.ledger.carried(),
                 *self.holding.carried()]
 
@@ -458,6 +471,10 @@
             case Read(sender=sender, token=token) if self.copies and self.disk.opened and self.facts.read:
                 return self.copies.told(message, lambda: not self.facts.doubt and self._knows(sender, token),
                                         self._lives())
+            case Agree() if self.agreement and not self.facts.doubt:
+                self.agreement.take(message)
+            case Order(number, "put", who, key, value) if self.agreement:
+                return self._put(number, who, key, value)
             case Want(number):
                 return Have(number, msgspec.to_builtins(self._whole()) if self.facts.list_told else None)
             case Order(number, what, who):
@@ -504,6 +521,14 @@
         self._touch()
         return self.status()
 
+    async def _put(self, number: int, who: str, key: str, value: str) -> Message:
+        """Set a key of the register, from the version that it has here."""
+        assert self.agreement
+        _log.warning("register", key=key, value=value, who=who)
+        version = self.agreement.register.get(key).version
+        good = await self.agreement.put(key, value, version, self._clock())
+        return Report(number, {**self.status(), "put": good})
+
     def status(self) -> dict[str, Any]:
         """What operators see."""
         journal, waiting = self.journal, self.gates.waited_for()
@@ -518,9 +543,16 @@
             "bytes": journal.bytes, "segments": journal.segments, "operations": len(journal.index),
             "copies": len(self.holding.open), "holders": list(self.copies.ensemble) if self.copies else [],
             "open": len(self.ledger.live), "lost": len(self.ledger.lost), "held": self.facts.held,
-            "commits": self.disk.commits,
+            "commits": self.disk.commits, **self._agreed(),
         }
 
+    def _agreed(self) -> dict[str, Any]:
+        if self.agreement is None or self.agreement.raft is None:
+            return {}
+        raft, register = self.agreement.raft, self.agreement.register
+        return {"leader": raft.leader, "term": raft.hard.term,
+                "register": {key: [cell.value, cell.version] for key, cell in register.items()}}
+
     # ---- what the agent tells ----------------------------------------------------------------------
 
     def listed(self, listing: Listing, remembered: bool = False) -> None:
--- a/frostfall/protocol/group.py
+++ b/frostfall/protocol/group.py
@@ -86,6 +86,13 @@
     token: str  # of the sender's life
 
 
+class Agree(msgspec.Struct, tag="agree", array_like=True):
+    """A word of the register's protocol, which nothing answers."""
+
+    sender: str
+    word: bytes
+
+
 class Want(msgspec.Struct, tag="want", array_like=True):
     """Give me the server list that you have."""
 
@@ -103,8 +110,10 @@
     """An operator's word, by the command line."""
 
     number: int
-    what: str  # status, accept, hold, lift
+    what: str  # status, accept, hold, lift, put
     who: str = ""
+    key: str = ""
+    value: str = ""
 
 
 class Report(msgspec.Struct, tag="report", array_like=True):
@@ -114,8 +123,9 @@
     fields: dict[str, Any]
 
 
-Message = Beat | Ask | Tell | Copy | Copied | Read | Want | Have | Order | Report
-_DECODER = msgspec.msgpack.Decoder(Beat | Ask | Tell | Copy | Copied | Read | Want | Have | Order | Report)
+Message = Beat | Ask | Tell | Copy | Copied | Read | Agree | Want | Have | Order | Report
+_DECODER = msgspec.msgpack.Decoder(
+    Beat | Ask | Tell | Copy | Copied | Read | Agree | Want | Have | Order | Report)
 
 
 class Stranger(Exception):
--- a/frostfall/recovery/facts.py
+++ b/frostfall/recovery/facts.py
@@ -44,6 +44,26 @@
     on: bool
 
 
+class Voted(msgspec.Struct, frozen=True, tag="voted", array_like=True):
+    """Agreement: the term, and who was voted for in it."""
+
+    term: int
+    vote: str
+
+
+class Ruled(msgspec.Struct, frozen=True, tag="ruled", array_like=True):
+    """Agreement: an entry of the log; what stood there and behind it goes."""
+
+    index: int
+    entry: Any
+
+
+class Agreed(msgspec.Struct, frozen=True, tag="agreed", array_like=True):
+    """Agreement: a snapshot, which stands for all entries up to its index."""
+
+    snapshot: Any
+
+
 class KnownList(msgspec.Struct, frozen=True, tag="list", array_like=True):
     """The server list as it was last told, and the wall clock's seconds then: a hint with an age."""
 
@@ -51,8 +71,8 @@
     listing: Any
 
 
-Fact = Life | Seen | Doubt | GoneBack | Hold | KnownList
-_DECODER = msgspec.msgpack.Decoder(Life | Seen | Doubt | GoneBack | Hold | KnownList)
+Fact = Life | Seen | Doubt | GoneBack | Hold | Voted | Ruled | Agreed | KnownList
+_DECODER = msgspec.msgpack.Decoder(Life | Seen | Doubt | GoneBack | Hold | Voted | Ruled | Agreed | KnownList)
 
 
 def encode(fact: Fact) -> bytes:
@@ -84,6 +104,7 @@
     "outcomes and answers given": (Trust.FACT, "given again to who asks with the operation's name"),
     "copies of others' operations": (Trust.FACT, "an open one may have run, whoever settles it"),
     "fences": (Trust.FACT, "what was settled as never begun is not begun by its owner"),
+    "votes and log of the register": (Trust.FACT, "in doubt, a member takes no part: it may have voted"),
     "builds that went back": (Trust.FACT, "no vote for them until the platform tells of a newer one"),
     "holds of operators": (Trust.FACT, "stand until operators lift them"),
     "members' lives as seen": (Trust.FACT, "an older life that speaks is told so"),
--- a/frostfall/recovery/rules.py
+++ b/frostfall/recovery/rules.py
@@ -84,6 +84,7 @@
     retries_marked: bool = False  # operators' word that clients mark every try after an operation's first
     store: Store = Store()
     copies: Copies | None = None  # without it, an agent's record is on its own disk alone
+    agreement: bool = False  # whether members keep a register in common
     turns: Turns = Turns()
     waits: Waits = Waits()
 
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
+import time
+from pathlib import Path
 from typing import Any
 
+import msgspec
 import pytest
+from click.testing import CliRunner
 
 from frostfall.agreement.log import Entry, Log, Snapshot
 from frostfall.agreement.raft import COMPACT, Append, AskVote, Hard, Raft, Ready, Vote
 from frostfall.agreement.register import Cell, Put, Register
+from frostfall.cli import main
 from frostfall.model.agreement import Breach, Group
+from tests.test_power_loss import restart, running
 
 
 @pytest.mark.parametrize("seed", range(36))
@@ -140,3 +146,66 @@
     again = Register(register.state())
     assert again.get("zone a") == Cell(None, 2) and again.apply(Put("zone a", "x", 2, "n1", 3))
     assert not again.apply(Put("zone a", "x", 2, "n1", 1))
+
+
+def put(folder: Path, key: str, value: str, whose: str = "n0") -> str:
+    """Set a key by the command line, as soon as somebody leads, over this member's links."""
+    operator = str(folder / whose / "operator.json5")
+    for _ in range(60):
+        done = CliRunner().invoke(main, ["group", "put", "--operator", operator, "--by", "test", key, value])
+        if done.exit_code == 0:
+            return done.output
+        time.sleep(0.1)
+    raise AssertionError(done.output)
+
+
+def seen(folder: Path, name: str) -> dict[str, Any]:
+    operator = str(folder / name / "operator.json5")
+    done = CliRunner().invoke(main, ["group", "status", "--operator", operator, "--json", name])
+    return dict(msgspec.json.decode(done.output.splitlines()[0]))
+
+
+def test_processes_agree_over_a_lost_leader_a_deposed_one_and_a_power_loss(tmp_path: Path) -> None:
+    with running(tmp_path, agreement=True) as cluster:
+        assert "version 1" in put(tmp_path, "zone a", "serving")
+        leader = str(cluster.history.of("leader")[-1]["leader"])
+        others = [name for name in cluster.names if name != leader]
+        cluster.pause(leader)
+        since = cluster.now
+        for name in others:
+            cluster.wait("leader", since=since, who=name, leader="n?")
+        assert "version 2" in put(tmp_path, "zone a", "out")
+        cluster.wake(leader)
+        cluster.wait("leader", since=since, who=leader, leader="n?")  # it follows who was chosen meanwhile
+        assert "version 3" in put(tmp_path, "zone a", "returning")
+        cluster.kill()
+        restart(cluster)
+        assert "version 4" in put(tmp_path, "zone a", "serving")
+        for name in cluster.names:
+            while seen(tmp_path, name).get("register", {}).get("zone a") != ["serving", 4]:
+                time.sleep(0.05)
+
+
+def test_a_cut_off_leader_decides_nothing_and_one_in_doubt_has_no_vote(tmp_path: Path) -> None:
+    with running(tmp_path, agreement=True) as cluster:
+        put(tmp_path, "x", "1")
+        leader = str(cluster.history.of("leader")[-1]["leader"])
+        others = [name for name in cluster.names if name != leader]
+        since = cluster.now
+        for name in others:
+            cluster.link(f"{leader}>{name}", cut=["forth", "back"])
+            cluster.link(f"{name}>{leader}", cut=["forth", "back"])
+        cluster.wait("leader", since=since, who=others[0], leader="n?")
+        cluster.wait("leader", since=since, who=leader, leader="")
+        assert "version 2" in put(tmp_path, "x", "2", others[0])
+        assert seen(tmp_path, leader)["register"]["x"] == ["1", 1]
+        cluster.link("*", cut=[])
+        while seen(tmp_path, leader)["register"]["x"] != ["2", 2]:
+            time.sleep(0.05)
+        cluster.kill(others[0])
+        cluster.lose(others[0])
+        cluster.configure(new=False)
+        since = cluster.now
+        cluster.start(others[0])
+        cluster.wait("no part in agreement: this member may have voted otherwise before", since=since)
+        assert "version 3" in put(tmp_path, "x", "3", leader)
