--- /dev/null
+++ b/frostfall/bench/copies.py
@@ -0,0 +1,143 @@
+"""`frostfall bench copies`: machines go with their disks under load; what a promise costs; schedules.
+
+All servers, clients and disks are stand-ins of this project. Each figure that has an aim stands in `targets`.
+"""
+
+from __future__ import annotations
+
+import os
+import random
+import statistics
+import tempfile
+from concurrent.futures import ProcessPoolExecutor
+from functools import partial
+from pathlib import Path
+from time import monotonic, sleep
+from typing import Any
+
+from frostfall.bench import report
+from frostfall.bench.check import Findings, check
+from frostfall.bench.cluster import Cluster
+from frostfall.bench.power_loss import Progress, target
+from frostfall.bench.schedules import judge_seed
+
+LOAD = {"rate": 80.0, "unsafe": 0.6, "patience": 5.0}
+ASKED_AGAIN = 12  # operations of a lost machine that are asked for again at others
+TWO, THREE = {"kept": 2, "acknowledged": 1}, {"kept": 3, "acknowledged": 2}
+SIZES = {3: TWO, 5: THREE, 9: THREE}
+
+
+def machine_lost(folder: Path, agents: int, seed: int) -> tuple[dict[str, Any], Findings]:
+    """One agent's machine goes with its disk under load; what others know of its promises afterwards."""
+    rng = random.Random(seed)
+    cluster = Cluster(folder, agents, servers=3, seed=seed, copies=SIZES[agents], crowd=LOAD)
+    seen: dict[str, Any] = {"agents": agents, "lost": [], "settled": []}
+    try:
+        cluster.open()
+        cluster.start()
+        cluster.gate("unsafe")
+        cluster.crowd()
+        cluster.wait("answered", 40, what="served")
+        victim = rng.choice(cluster.names)
+        address = cluster.links[f"clients>{victim}"]
+        if rng.random() < 0.5:
+            cluster.servers(hold=["order"])
+            cluster.wait("asked", 10, since=cluster.now)
+        cluster.kill(victim)
+        cluster.lose(victim)
+        cluster.servers(let_go=True)
+        at = monotonic()
+        events = list(cluster.history.events)
+        given = {event["op"]: event["value"] for event in events if event.get("event") == "answered"
+                 and event["what"] == "served" and event["agent"] == address}
+        open_ones = {event["op"] for event in events if event.get("event") == "asked"
+                     and event["agent"] == address} - {
+                         event["op"] for event in events if event.get("event") == "answered"}
+        others = [name for name in cluster.names if name != victim]
+        for operation in sorted(given)[:ASKED_AGAIN]:
+            since = cluster.now
+            cluster.ask(rng.choice(others), operation, 50)
+            got = cluster.wait("answered", since=since, id=f"{operation}-t50")
+            if got["what"] != "served" or got["value"] != given[operation]:
+                seen["lost"].append(f"{operation}: {got['what'] or 'no answer'}")
+        for operation in sorted(open_ones)[:ASKED_AGAIN]:
+            since, begin = cluster.now, monotonic()
+            cluster.ask(rng.choice(others), operation, 50)
+            cluster.wait("answered", since=since, id=f"{operation}-t50")
+            seen["settled"].append(monotonic() - begin)
+        seen["given"], seen["open"], seen["after"] = len(given), len(open_ones), monotonic() - at
+        cluster.quiet()
+    finally:
+        cluster.close()
+    return seen, check(cluster.history)
+
+
+def promise_cost(folder: Path, copies: dict[str, int] | None, seconds: float) -> dict[str, float]:
+    """Latencies at 200 unsafe requests a second over three agents; milliseconds."""
+    more: dict[str, Any] = {"copies": copies} if copies else {}
+    cluster = Cluster(folder, 3, servers=3, held=False, crowd={"rate": 200.0, "unsafe": 1.0}, **more)
+    try:
+        cluster.open()
+        cluster.start()
+        cluster.gate("unsafe")
+        cluster.crowd()
+        cluster.wait("answered", 100, what="served")
+        since = cluster.now
+        sleep(seconds)
+        cluster.quiet()
+    finally:
+        cluster.close()
+    asked = {event["id"]: event["at"] for event in cluster.history.of("asked", since)}
+    answers = cluster.history.of("answered", since)
+    times = sorted((event["at"] - asked[event["id"]]) * 1000 for event in answers
+                   if event["what"] == "served" and event["id"] in asked)
+    return {"p50": times[len(times) // 2], "p99": times[int(len(times) * 0.99)], "count": len(times)}
+
+
+def run(losses: int, schedules: int, rounds: int, out: Path, progress: Progress = print) -> None:
+    """Take all figures, and leave JSON and table."""
+    findings, seen = Findings(), list[dict[str, Any]]()
+    for number in range(losses):
+        with tempfile.TemporaryDirectory() as name:
+            one, checked = machine_lost(Path(name), (3, 5, 9)[number % 3], number)
+        seen.append(one)
+        findings.add(checked)
+        progress(f"machine {number + 1} of {losses}: {one}")
+    costs: dict[str, list[dict[str, float]]] = {"one disk": [], "copies": []}
+    for turn in range(rounds):
+        for name, copies in (("one disk", None), ("copies", SIZES[3]))[::1 if turn % 2 else -1]:
+            with tempfile.TemporaryDirectory() as folder:
+                costs[name].append(promise_cost(Path(folder), copies, 4.0))
+    failing, operations = list[tuple[int, list[str]]](), 0
+    with ProcessPoolExecutor(max((os.cpu_count() or 2) - 1, 1)) as pool:
+        for seed, lines, tried in pool.map(partial(judge_seed, copies=True), range(schedules), chunksize=10):
+            operations += tried
+            if lines:
+                failing.append((seed, lines))
+    middle = {name: {key: statistics.median(each[key] for each in values) for key in ("p50", "p99", "count")}
+              for name, values in costs.items()}
+    lost = [line for one in seen for line in one["lost"]]
+    settled = [time for one in seen for time in one["settled"]]
+    slowest = round(max(settled, default=0.0), 3)
+    asked = sum(min(one["given"], ASKED_AGAIN) for one in seen)
+    targets = [
+        target(f"promises lost, of {asked} asked for again, in {losses} machine losses", "0", len(lost),
+               not lost),
+        target("operations run twice", "0", len(findings.twice), not findings.twice),
+        target("answers that differ or were not true", "0", len(findings.promises), not findings.promises),
+        target("tries without exactly one final answer", "0", len(findings.answers), not findings.answers),
+        target(f"schedules with copies that broke something, of {schedules}", "0", len(failing),
+               not failing),
+        target(f"an open item of a lost machine settled, s (latest of {len(settled)})", "2.0", slowest,
+               slowest <= 2.0),
+    ]
+    cost = [{"record": name, **figures} for name, figures in middle.items()]
+    text = report.table(targets, ["name", "aim", "measured", "met"]) + "\n" + report.table(
+        cost, ["record", "p50", "p99", "count"])
+    report.write(out, "copies", {"machines": seen, "cost": middle, "each cost": costs, "targets": targets,
+                                 "schedules": {"played": schedules, "operations": operations,
+                                               "failing": failing},
+                                 "findings": {"operations": findings.operations, "ran": findings.ran,
+                                              "twice": findings.twice, "answers": findings.answers,
+                                              "promises": findings.promises}}, text)
+    progress(text)
--- a/frostfall/cli.py
+++ b/frostfall/cli.py
@@ -129,6 +129,22 @@
     measure.run(losses, schedules, records, rounds, against, out, click.echo)
 
 
+@bench.command("copies")
+@click.option("--losses", default=30, show_default=True, help="Machines lost with their disks.")
+@click.option("--schedules", default=2000, show_default=True, help="Schedules of faults in virtual time.")
+@click.option("--rounds", default=3, show_default=True, help="How often the cost of a promise is measured.")
+@click.option("--out", type=click.Path(file_okay=False, path_type=Path), default=Path("bench-out"),
+              show_default=True, help="Where the JSON and the table go.")
+def copies(losses: int, schedules: int, rounds: int, out: Path) -> None:
+    """Machines of 3, 5 and 9 agents go with their disks under load; what a promise costs."""
+    try:
+        import frostfall.bench.copies as measure
+    except ImportError as error:
+        raise click.ClickException(f"{error}; install requirements-bench.txt and requirements-group.txt"
+                                   ) from None
+    measure.run(losses, schedules, rounds, out, click.echo)
+
+
 @bench.command("faults")
 @click.argument("script", type=click.Path(dir_okay=False, exists=True))
 @click.option("--out", type=click.Path(file_okay=False, path_type=Path), default=Path("bench-out/faults"),
