--- a/frostfall/model/power.py
+++ b/frostfall/model/power.py
@@ -308,7 +308,7 @@
         if self.recovery is None or self._group is None or self.stopped:
             return
         deadline = self.world.micros() + parsed.wait_ms * 1000
-        if not self.recovery.take(parsed, client, deadline):
+        if not self.recovery.operations.take(parsed, client, deadline):
             request = self._requests[parsed.request] = _Request(client, deadline)
             self._group.start_soon(self._serve, parsed, request)
 
@@ -318,7 +318,7 @@
         self._group.start_soon(self._give_up, name, request)
         while not request.done:
             request.out += 1
-            clear = await recovery.clear(name, lambda: request.done, request.deadline)
+            clear = await recovery.operations.clear(name, lambda: request.done, request.deadline)
             if not clear:
                 ending = Ending(Progress.NOT_WRITTEN, withheld=True)
             else:
@@ -326,7 +326,7 @@
             request.out -= 1
             if isinstance(ending.answer, Row):
                 self._finish(name, request, ending.answer.data + READY, Final.SERVED)
-            recovery.attempted(name, ending)
+            recovery.operations.attempted(name, ending)
             if request.done:
                 break
             if not ending.outcome.never_ran:
@@ -334,7 +334,7 @@
             else:
                 await anyio.sleep(0.02)
         if request.done and not request.out:
-            recovery.closed(name)
+            recovery.operations.closed(name)
 
     async def _give_up(self, name: str, request: _Request) -> None:
         await anyio.sleep(max((request.deadline - self.world.micros()) / 1e6 - 0.01, 0))
@@ -347,7 +347,7 @@
         if request.done or self.recovery is None:
             return
         request.done = True
-        self.recovery.finish(name, answer, end, request.client, not request.out)
+        self.recovery.operations.finish(name, answer, end, request.client, not request.out)
 
 
 class ModelLine:
--- a/frostfall/net/agent.py
+++ b/frostfall/net/agent.py
@@ -169,11 +169,12 @@
             return parsed
         if parsed.class_name not in self._classes:
             return "an unknown class"
-        if parsed.request in self._requests and not (self._recovery and self._recovery.knows(parsed)):
+        in_use = parsed.request in self._requests
+        if in_use and not (self._recovery and self._recovery.operations.knows(parsed)):
             return "an id that is in use"
         deadline = now + parsed.wait_ms * 1000
         client.request, client.side.class_name = parsed.request, parsed.class_name
-        if self._recovery and self._recovery.take(parsed, client, deadline):
+        if self._recovery and self._recovery.operations.take(parsed, client, deadline):
             return None
         self._requests[parsed.request] = _Request(parsed, client, deadline)
         self.post(api.RequestArrived(parsed.request, parsed.class_name, deadline, parsed.key, parsed.hint,
@@ -202,7 +203,7 @@
         if over := not request.out:
             del self._requests[name]
         if self._recovery:
-            self._recovery.finish(name, answer, end, request.client, over)
+            self._recovery.operations.finish(name, answer, end, request.client, over)
         else:
             request.client.answer(answer)
 
@@ -210,7 +211,7 @@
         if (request := self._requests.get(name)) and request.done and not request.out:
             del self._requests[name]
             if self._recovery:
-                self._recovery.closed(name)
+                self._recovery.operations.closed(name)
 
     def _send(self, action: api.SendAttempt) -> None:
         request = self._requests.get(action.request)
@@ -253,7 +254,7 @@
             return request.done or attempt.given_up
 
         try:
-            clear = await self._recovery.clear(request.statement.request, over, deadline)
+            clear = await self._recovery.operations.clear(request.statement.request, over, deadline)
         except Exception:
             _log.exception("record failed")
             clear = False
@@ -272,7 +273,7 @@
         if isinstance(ending.answer, Row):
             self._finish(name, ending.answer.data + READY, Final.SERVED)
         if self._recovery:
-            self._recovery.attempted(name, ending)
+            self._recovery.operations.attempted(name, ending)
         elapsed = self.clock.now() - began
         try:
             load = entries.load(ending.load)
