--- a/frostfall/cli.py
+++ b/frostfall/cli.py
@@ -237,6 +237,9 @@
             click.echo(f"{name}: not reached: {error or type(error).__name__}", err=True)
             continue
         click.echo(msgspec.json.encode(fields) if as_json else _shown(fields))
+        if not fields.get("kept", True):
+            missing += 1
+            click.echo(f"{name}: not on its disk, and gone with the next restart", err=True)
     sys.exit(1 if missing else 0)
 
 
--- a/frostfall/net/recovery.py
+++ b/frostfall/net/recovery.py
@@ -393,12 +393,14 @@
         _log.error("the folder is lost, swapped or old: it proves nothing", why=self.facts.doubt)
         self._note_doubt()
 
-    def _note_doubt(self) -> None:
+    def _note_doubt(self) -> int:
         def noted(good: bool) -> None:
             self._doubt_on_disk = good
 
         self._doubt_on_disk = False
-        self.disk.when(self._note(Doubt(self.facts.doubt)), noted)
+        ticket = self._note(Doubt(self.facts.doubt))
+        self.disk.when(ticket, noted)
+        return ticket
 
     def _wrote_down(self, name: str, life: Life, outdated: str) -> None:
         self.members.wrote_down(name, life, outdated)
@@ -427,7 +429,7 @@
             case Want(number):
                 return Have(number, msgspec.to_builtins(self._whole()) if self.facts.list_told else None)
             case Order(number, what, who):
-                return Report(number, self._order(what, who))
+                return self._order(number, what, who)
         return None
 
     def _knows(self, sender: str, token: str) -> bool:
@@ -456,19 +458,22 @@
             _log.error("the record proves nothing any more", why=self.facts.doubt)
             self._touch()
 
-    def _order(self, what: str, who: str) -> dict[str, Any]:
+    async def _order(self, number: int, what: str, who: str) -> Message:
+        """An operator's word: it is answered once it is on disk, and so outlives a power loss."""
+        ticket = 0
         if what == "accept" and self.facts.doubt and self.disk.opened:
             _log.warning("operators accept the loss", who=who, doubt=self.facts.doubt)
             self.members.outdated = self.facts.doubt = self.ledger.doubt = ""
             self._last = Life(self.members.incarnation, self.journal.on_disk, self.members.token)
-            self._note_doubt()
+            ticket = self._note_doubt()
             self._noted.discard("majority")
         elif what in ("hold", "lift"):
             self.facts.held = who if what == "hold" else ""
-            self._note(Hold(who, what == "hold"))
+            ticket = self._note(Hold(who, what == "hold"))
             _log.warning("votes", order=what, who=who)
         self._touch()
-        return self.status()
+        kept = not ticket or (self.disk.opened and await self.disk.durable(ticket))
+        return Report(number, {**self.status(), "kept": kept})
 
     async def _put(self, number: int, who: str, key: str, value: str) -> Message:
         """Set a key of the register, from the version that it has here."""
