--- a/frostfall/bench/cluster.py
+++ b/frostfall/bench/cluster.py
@@ -243,6 +243,8 @@
             each.send(signal.SIGKILL)
         for each in chosen:
             each.end()
+            # Danger: a line that it wrote before may be read only now, and would look like its return.
+            self.history.add({"event": "killed", "who": each.name, "at": monotonic()})
 
     def power_loss(self) -> None:
         """All agents and servers lose power at once; servers are back at once, cold, and the list says so."""
