--- a/frostfall/storage/index.py
+++ b/frostfall/storage/index.py
@@ -1,9 +1,9 @@
 """An index of keys to places in the log: open addressing in flat arrays, 23 to 46 bytes a key.
 
-A dict of the same takes over twice as much; `frostfall bench power-loss` measures both. Linear probing after
-Knuth, The Art of Computer Programming 3, 6.4, algorithm L: keys are hashes, as keys in a row would pile up. Two
-names may share a key of 64 bits: each has a slot of its own, and who looks up is given all of them, to compare
-the names in the log.
+A dict of the same takes over twice as much; `frostfall bench power-loss` measures both. Linear probing
+after Knuth, The Art of Computer Programming 3, 6.4, algorithm L: keys are hashes, as keys in a row would
+pile up. Two names may share a key of 64 bits: each has a slot of its own, and who looks up is given all of
+them, to compare the names in the log.
 """
 
 from __future__ import annotations
