--- a/frostfall/copies/rules.py
+++ b/frostfall/copies/rules.py
@@ -16,7 +16,6 @@
         if not 1 <= self.acknowledged <= self.kept:
             raise ValueError(f"acknowledged: {self.acknowledged} is not from 1 to kept, {self.kept}")
 
-    @property
-    def read(self) -> int:
-        """How many holders a reader needs, so that no promise can have passed all of them by."""
-        return self.kept - self.acknowledged + 1
+    def read(self, holders: int) -> int:
+        """How many of so many holders a reader needs, so that no promise can have passed all of them by."""
+        return holders - min(self.acknowledged, holders) + 1
--- a/frostfall/net/copies.py
+++ b/frostfall/net/copies.py
@@ -141,7 +141,7 @@
         None where too few holders that are sure of their records answer in time.
         """
         ensemble = holders(owner, self._zones, self._rules.kept)
-        read = len(ensemble) - min(self._rules.acknowledged, len(ensemble)) + 1
+        read = self._rules.read(len(ensemble))
         words: dict[str, Told] = {}
         changed = [anyio.Event()]
         missing = list(ensemble)
--- a/frostfall/recovery/ledger.py
+++ b/frostfall/recovery/ledger.py
@@ -15,7 +15,7 @@
 from typing import Any
 
 from frostfall.storage.frames import Record, State
-from frostfall.storage.index import place_of
+from frostfall.storage.index import parts_of, place_of
 from frostfall.storage.journal import Journal, key_of
 
 NAME_MOST = 255  # bytes of an operation's name
@@ -123,10 +123,10 @@
         """
         count = 0
         for _, place in list(self.journal.index.items()):
-            state = State(place & 7)
+            segment, offset, state = parts_of(place)
             if state not in (State.OPEN, State.LOST):
                 continue
-            data = read(place >> 35, (place >> 3) & 0xFFFFFFFF)
+            data = read(segment, offset)
             if state is State.OPEN and copies(name_in(data)):
                 continue
             self.lost[name_in(data)] = place
--- a/frostfall/recovery/rules.py
+++ b/frostfall/recovery/rules.py
@@ -112,11 +112,6 @@
         if self.operation and not _FIELD.match(self.operation):
             raise ValueError(f"operation: {self.operation!r} is no name of a comment's field")
 
-    @property
-    def majority(self) -> int:
-        """How many members are more than half of all."""
-        return len(self.members) // 2 + 1
-
 
 class Section(msgspec.Struct, frozen=True):
     """The section under its name, so that faults name the whole way to a key."""
--- a/frostfall/storage/journal.py
+++ b/frostfall/storage/journal.py
@@ -107,7 +107,7 @@
             if state == State.FACT:
                 recall(bytes(payload))
                 return
-            _settle(index, state, key, old, number << 35 | offset << 3 | state)
+            _settle(index, state, key, old, place_of(number, offset, state))
 
         read = frames.read(raw, last, apply)
         header = read.header
