--- a/frostfall/bench/cluster.py
+++ b/frostfall/bench/cluster.py
@@ -94,7 +94,7 @@
     def __init__(self, folder: Path, agents: int = 3, servers: int = 3, seed: int = 1, group: bool = True,
                  checkout: Path = ROOT, held: bool = True, fleet: dict[str, Any] | None = None,
                  crowd: dict[str, Any] | None = None, zones: int = 1,
-                 listed: list[str] | None = None, **changes: Any) -> None:
+                 listed: list[str] | None = None, sockets: int = 1024, **changes: Any) -> None:
         """Prepare in this folder; `changes` go into the operator file's section `group`.
 
         `listed`: only these stand in the list of members, and start without a name.
@@ -102,6 +102,7 @@
         self.folder, self.seed, self.history = folder, seed, History()
         self.names = [f"n{place}" for place in range(agents)]
         self._checkout, self._held, self._grouped, self._zones = checkout, held, group, zones
+        self._sockets = sockets
         self._changes = {"retries_marked": True, "operation": "op", "new": True, **changes}
         self._fleet, self._crowd = fleet or {}, {"rate": 60.0, "unsafe": 0.5, **(crowd or {})}
         self.agents: dict[str, Process] = {}
@@ -162,6 +163,7 @@
                  "peers": [self.udp[name] if other == name else self.datagrams[f"{name}>{other}"]
                            for other in self.names], "peers_all": ""}
         told["release_api"]["address"] = self.links[f"{name}>platform"]
+        told["limits"]["sockets"] = self._sockets
         told["known"] = {"generation": 1, "reset": True, "instances": []}
         told["settings"] |= {"ordinal": place, "nInstances": len(self.names)}
         (home / "config.json").write_bytes(msgspec.json.encode(told))
--- a/frostfall/bench/copies.py
+++ b/frostfall/bench/copies.py
@@ -10,16 +10,19 @@
 import statistics
 import tempfile
 from concurrent.futures import ProcessPoolExecutor
+from dataclasses import fields
 from functools import partial
 from pathlib import Path
 from time import monotonic, sleep
 from typing import Any
 
-from frostfall.bench import report
+from frostfall.bench import repair, report
 from frostfall.bench.check import Findings, check
 from frostfall.bench.cluster import Cluster
-from frostfall.bench.power_loss import Progress, target
+from frostfall.bench.power_loss import Progress, group_off, older, target
 from frostfall.bench.schedules import judge_seed
+from frostfall.copies.rules import Copies
+from frostfall.model.search import Mutation, search
 
 LOAD = {"rate": 80.0, "unsafe": 0.6, "patience": 5.0}
 ASKED_AGAIN = 12  # operations of a lost machine that are asked for again at others
@@ -94,8 +97,75 @@
     return {"p50": times[len(times) // 2], "p99": times[int(len(times) * 0.99)], "count": len(times)}
 
 
-def run(losses: int, schedules: int, rounds: int, out: Path, progress: Progress = print) -> None:
-    """Take all figures, and leave JSON and table."""
+def repairs(records: int, items: int, progress: Progress) -> tuple[dict[str, Any], list[report.Row]]:
+    """Records made whole, items settled, and the CPU of a copied operation as members grow."""
+    whole = repair.whole_again(records, 1.0)
+    progress(f"whole again: {whole}")
+    part = repair.whole_again(records, 0.01)
+    progress(f"a hundredth: {part}")
+    many = repair.settled(items)
+    progress(f"settled: {many}")
+    sizes = [repair.growth(agents) for agents in (3, 9)]
+    progress(f"growth: {sizes}")
+    ratio = round(sizes[0]["CPU ms an operation"] / max(sizes[1]["CPU ms an operation"], 1e-9), 3)
+    less = round(whole["p99 meanwhile"] / max(whole["p99 before"], 1e-9), 3)
+    share = round(part["bytes"] / max(whole["bytes"], 1), 4)
+    kept = f"{whole['operations']} records"
+    rows = [
+        target(f"copies whole again after a machine is lost, s ({kept})", "30", whole["seconds"],
+               whole["seconds"] <= 30 and whole["operations"] >= records * 0.9),
+        target("99th percentile of unsafe requests meanwhile, ratio", "1.10", less, less <= 1.10),
+        target("a returned machine with 1% differing, of a full copy's bytes", "0.03", share,
+               share < 0.03),
+        target(f"items of a dead owner settled, s ({many['open']} open; the aim is for 1000)", "2.0",
+               many["seconds"], many["seconds"] <= 2.0 and many["open"] >= 1000),
+        target("operations a second an agent from 3 to 9 members, by CPU an operation", "0.9", ratio,
+               ratio >= 0.9),
+    ]
+    return {"whole again": whole, "a hundredth": part, "settled": many, "growth": sizes}, rows
+
+
+def small_world(items: int) -> tuple[dict[str, Any], report.Row]:
+    """The exhaustive search, of the protocol and of its mutants with one item."""
+    rules = Copies(2, 1)
+    whole = search(rules, items)
+    found = {field.name: search(rules, 1, Mutation(**{field.name: True})) for field in fields(Mutation)}
+    states = {name: each.states for name, each in found.items() if each.breach}
+    row = target(f"small world, {whole.states} states: breaches; mutants found, of {len(found)}",
+                 f"0; {len(found)}", f"{int(whole.breach is not None)}; {len(states)}",
+                 whole.breach is None and len(states) == len(found))
+    return {"items": items, "states": whole.states, "depth": whole.depth, "mutants found after": states}, row
+
+
+def plot(path: Path, costs: dict[str, list[dict[str, float]]], repaired: dict[str, Any]) -> None:
+    """What a promise costs by round, and requests while a record is made whole."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, (left, right) = pyplot.subplots(1, 2, figsize=(9, 3.2))
+    for name, figures in costs.items():
+        for key, style in (("p50", "-"), ("p99", ":")):
+            left.plot([each[key] for each in figures], style, marker="o", label=f"{name}, {key}")
+    left.set(title="a promise, 200 a second", xlabel="round", ylabel="ms", ylim=(0, None))
+    left.legend(fontsize=7)
+    kinds = ("whole again", "a hundredth")
+    for place, key in enumerate(("p99 before", "p99 meanwhile")):
+        right.bar([spot + 0.4 * place for spot in range(2)], [repaired[kind][key] for kind in kinds], 0.38,
+                  label=key)
+    right.set(title="unsafe requests beside repair", ylabel="ms", xticks=[0.2, 1.2], xticklabels=kinds)
+    right.legend(fontsize=7)
+    figure.tight_layout()
+    figure.savefig(path, dpi=110)
+
+
+def run(losses: int, schedules: int, rounds: int, records: int, items: int, against: str, out: Path,
+        progress: Progress = print) -> None:
+    """Take all figures, and leave JSON, table and plot."""
+    more, rows = repairs(records, items, progress)
+    world, row = small_world(1)
+    progress(f"small world: {world}")
     findings, seen = Findings(), list[dict[str, Any]]()
     for number in range(losses):
         with tempfile.TemporaryDirectory() as name:
@@ -120,9 +190,16 @@
     settled = [time for one in seen for time in one["settled"]]
     slowest = round(max(settled, default=0.0), 3)
     asked = sum(min(one["given"], ASKED_AGAIN) for one in seen)
+    with older(against) as checkout:
+        off = group_off(checkout, 6.0, 5)
     targets = [
+        *rows, row,
         target(f"promises lost, of {asked} asked for again, in {losses} machine losses", "0", len(lost),
                not lost),
+        target("copies off: CPU against the landing before", "1.02", round(off["cpu"], 3),
+               off["cpu"] <= 1.02),
+        target("copies off: memory against the landing before", "1.02", round(off["memory"], 3),
+               off["memory"] <= 1.02),
         target("operations run twice", "0", len(findings.twice), not findings.twice),
         target("answers that differ or were not true", "0", len(findings.promises), not findings.promises),
         target("tries without exactly one final answer", "0", len(findings.answers), not findings.answers),
@@ -134,10 +211,11 @@
     cost = [{"record": name, **figures} for name, figures in middle.items()]
     text = report.table(targets, ["name", "aim", "measured", "met"]) + "\n" + report.table(
         cost, ["record", "p50", "p99", "count"])
-    report.write(out, "copies", {"machines": seen, "cost": middle, "each cost": costs, "targets": targets,
-                                 "schedules": {"played": schedules, "operations": operations,
-                                               "failing": failing},
-                                 "findings": {"operations": findings.operations, "ran": findings.ran,
-                                              "twice": findings.twice, "answers": findings.answers,
-                                              "promises": findings.promises}}, text)
+    report.write(out, "copies", {
+        "targets": targets, "repair": more, "small world": world, "machines": seen, "cost": middle,
+        "each cost": costs, "off": off, "against": against,
+        "schedules": {"played": schedules, "operations": operations, "failing": failing},
+        "findings": {"operations": findings.operations, "ran": findings.ran, "twice": findings.twice,
+                     "answers": findings.answers, "promises": findings.promises}}, text)
+    plot(out / "copies.png", costs, more)
     progress(text)
--- a/frostfall/cli.py
+++ b/frostfall/cli.py
@@ -135,14 +135,18 @@
 @click.option("--rounds", default=3, show_default=True, help="How often the cost of a promise is measured.")
 @click.option("--out", type=click.Path(file_okay=False, path_type=Path), default=Path("bench-out"),
               show_default=True, help="Where the JSON and the table go.")
-def copies(losses: int, schedules: int, rounds: int, out: Path) -> None:
+@click.option("--records", default=100_000, show_default=True, help="Of a machine that is made whole.")
+@click.option("--items", default=1000, show_default=True, help="Open items of a machine that goes.")
+@click.option("--against", default="8059fbe", show_default=True, help="The revision that is compared with.")
+def copies(losses: int, schedules: int, rounds: int, out: Path, records: int, items: int,
+           against: str) -> None:
     """Machines of 3, 5 and 9 agents go with their disks under load; what a promise costs."""
     try:
         import frostfall.bench.copies as measure
     except ImportError as error:
         raise click.ClickException(f"{error}; install requirements-bench.txt and requirements-group.txt"
                                    ) from None
-    measure.run(losses, schedules, rounds, out, click.echo)
+    measure.run(losses, schedules, rounds, records, items, against, out, click.echo)
 
 
 @bench.command("faults")
@@ -240,6 +244,9 @@
         if not fields.get("kept", True):
             missing += 1
             click.echo(f"{name}: not on its disk, and gone with the next restart", err=True)
+        if what in ("hold", "lift") and not fields.get("copied", True):
+            missing += 1
+            click.echo(f"{name}: on its own disk alone, as too few other members are heard", err=True)
     sys.exit(1 if missing else 0)
 
 
--- a/frostfall/copies/rules.py
+++ b/frostfall/copies/rules.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Literal
+
 import msgspec
 
 
@@ -10,6 +12,7 @@
 
     kept: int = 3
     acknowledged: int = 2
+    few: Literal["refuse", "take"] = "refuse"  # unsafe work while fewer holders than that are there
     rate: float = 1_000_000.0  # bytes a second that a member takes over at most to make copies whole
     round: float = 3600.0  # seconds between two comparisons of all copies, which read all that is on disk
     spare: float = 60.0  # seconds that a holder is away before another member keeps copies for it; 0: never
@@ -23,5 +26,10 @@
                 raise ValueError(f"{key}: {getattr(self, key):g} is not from {least:g} to 1e9")
 
     def read(self, holders: int) -> int:
-        """How many of so many holders a reader needs, so that no promise can have passed all of them by."""
+        """How many of so many holders a reader needs, so that no promise can have passed all of them by.
+
+        More than there are where promises are also given with fewer copies: nothing proves absence then.
+        """
+        if self.few == "take":
+            return holders + 1
         return holders - min(self.acknowledged, holders) + 1
--- a/frostfall/net/copies.py
+++ b/frostfall/net/copies.py
@@ -79,7 +79,12 @@
         """How many holders are heard whose word counts, and how many a promise needs."""
         here = sum(self._members.peers[name].health is Health.HERE and self._sound(name)
                    for name in self.ensemble)
-        return here, self.needed
+        return here, min(self.needed, here) if self._rules.few == "take" else self.needed
+
+    @property
+    def few(self) -> bool:
+        """Whether promises are given with fewer copies than operators asked for."""
+        return self.heard[1] < self.needed
 
     @property
     def _lines_here(self) -> list[str]:
@@ -120,7 +125,7 @@
 
     def stands(self, acknowledged: dict[str, str]) -> bool:
         """Whether so many holders still have what they acknowledged."""
-        return sum(self._counts(*each) for each in acknowledged.items()) >= self.needed
+        return sum(self._counts(*each) for each in acknowledged.items()) >= self.heard[1]
 
     def _counts(self, name: str, token: str) -> bool:
         # Danger: a holder that has lost its disk since, and with it its fences, would acknowledge what others
--- a/frostfall/net/disk.py
+++ b/frostfall/net/disk.py
@@ -137,7 +137,7 @@
     def __init__(self, where: Folder, journal: Journal, steady: Callable[[], float] = monotonic,
                  blocking: Callable[..., Awaitable[Any]] = run_sync) -> None:
         """Nothing is read or written before `open`; `blocking` calls what blocks, in a thread."""
-        self.folder, self.journal, self._blocking = where, journal, blocking
+        self.folder, self.journal, self.blocking = where, journal, blocking
         self._steady, self._started = steady, steady()
         self._waiters: deque[tuple[int, Callable[[bool], None]]] = deque()  # by ticket, which only grows
         self._wake = anyio.Event()
@@ -156,7 +156,7 @@
             self.journal.recover(self.folder.numbers(), self.folder.load, recall)
 
         try:
-            await self._blocking(read)
+            await self.blocking(read)
         except OSError as error:
             self.journal.fault = str(error)
             raise
@@ -166,7 +166,7 @@
 
     async def part(self, number: int, offset: int, size: int) -> bytes:
         """Up to so many bytes of a segment; OSError where they cannot be read."""
-        raw: bytes = await self._blocking(self.folder.part, number, offset, size)
+        raw: bytes = await self.blocking(self.folder.part, number, offset, size)
         return raw
 
     def when(self, ticket: int, then: Callable[[bool], None]) -> None:
@@ -223,7 +223,7 @@
                 await self._wake.wait()
                 continue
             try:
-                await self._blocking(carry_out, self.folder, write)
+                await self.blocking(carry_out, self.folder, write)
             except OSError as error:
                 self.journal.failed(f"segment {write.segment}: {error.strerror or error}")
                 _log.error("write failed: no unsafe work is taken until a restart", why=self.journal.fault)
--- a/frostfall/net/recovery.py
+++ b/frostfall/net/recovery.py
@@ -18,6 +18,7 @@
 from frostfall.config import Address, Config
 from frostfall.copies.holding import Holding, is_copy
 from frostfall.copies.repair import Repair
+from frostfall.copies.words import NONE, Words
 from frostfall.limits.attention import Attention
 from frostfall.membership.members import Answer, Health, Life, Members
 from frostfall.net import disk
@@ -55,6 +56,7 @@
 AT_EASE = 100.0  # refusals a second for which the shortest time to come again will do
 CLOCK_APART = 5.0  # seconds between two clocks that are worth a line
 NOTE_EVERY = 25  # turns after which it is written down how far the others' records have come
+WORD_WAIT = 1.0  # seconds that an operator is kept waiting for other members to have a word
 PAUSE_MOST = 3  # turns: a longer gap has been slept through
 
 _log = log.get("recovery")
@@ -101,6 +103,7 @@
                                    parts.steady, self._whole_for, self._restored,
                                    self._rotten) if repair else None
         self._keeps = Keeps([], [])
+        self.words = Words(frozenset(self.members.peers))
         names = tuple(sorted(member.name for member in rules.here))
         self.agreement = Agreement(config.name, names, self.disk, self._note, self._lines,
                                    config.seed) if rules.agreement else None
@@ -223,8 +226,9 @@
                 self._doubt_on_disk, self._mute = True, mute
             case GoneBack(build):
                 self._gone_back = max(self._gone_back, build)
-            case Hold(who, on):
-                self.facts.held = who if on else ""
+            case Hold(who, on, serial, member):
+                self.words.recall(member, (serial, who if on else ""))
+                self.facts.held = self.words.own[1]
             case Keeps() as keeps:
                 self._keeps = keeps
             case written.Voted() | written.Ruled() | written.Agreed() as fact:
@@ -243,8 +247,7 @@
             kept.append(Doubt(self.facts.doubt, self._mute))
         if self._gone_back:
             kept.append(GoneBack(self._gone_back))
-        if self.facts.held:
-            kept.append(Hold(self.facts.held, True))
+        kept += [Hold(who, bool(who), serial, member) for member, (serial, who) in self.words.items()]
         if self._list:
             kept.append(self._list)
         if self.repairing:
@@ -322,6 +325,9 @@
         facts.window_over = now >= self._window
         if self.copies:
             facts.holders = self.copies.heard
+            if self.copies.few != ("few" in self._noted):
+                self._noted ^= {"few"}
+                _log.warning("copies", fewer=self.copies.few, holders=facts.holders[0])
         facts.contested = self.members.contested
         if self.members.replaced_by and not facts.replaced:
             facts.replaced = f"life {self.members.replaced_by} of this member has begun elsewhere"
@@ -356,7 +362,8 @@
                     (self._last.incarnation, self._last.batch, self._last.token),
                     (kept.incarnation, kept.batch, kept.token), peer.health is Health.HERE,
                     peer.remark or peer.outdated, gone_back=self._gone_back,
-                    list=self._generation if self.facts.list_told else -1)
+                    list=self._generation if self.facts.list_told else -1, word=self.words.own,
+                    kept_word=self.words.kept.get(member, NONE))
 
     def _heard(self, beat: Beat) -> None:
         # Danger: held against a folder that has not been read yet, what others know of it looks like more.
@@ -385,7 +392,8 @@
             if peer.outdated and (beat.doubt or beat.last[2] == beat.token):
                 peer.outdated = ""
                 self._note(Seen(beat.name, life.incarnation, life.batch, life.token))
-        self._gone_back = max(self._gone_back, beat.gone_back)
+        self._heard_word(beat)
+        self._went_back(beat.gone_back)
         if not self.facts.list_told and beat.list > self._generation and beat.name in self._lines:
             self._generation = beat.list  # a member has had a newer one from discovery
             self._lines[beat.name].want_list(self._list_of_others)
@@ -393,6 +401,28 @@
             _log.warning("others knew later lives of this member", beyond=self.members.must_exceed)
         self._touch()
 
+    def _heard_word(self, beat: Beat) -> None:
+        if not self.disk.opened:
+            return
+        theirs, mine = self.words.heard(beat.name, beat.word, beat.kept_word)
+        if mine:
+            self.facts.held = mine[1]
+            self._note(Hold(mine[1], bool(mine[1]), mine[0]))
+            _log.warning("votes", order="as others know it", who=mine[1])
+        if theirs:
+            def noted(good: bool) -> None:
+                if good:
+                    self.words.recall(beat.name, theirs)
+
+            self.disk.when(self._note(Hold(theirs[1], bool(theirs[1]), theirs[0], beat.name)), noted)
+
+    def _went_back(self, build: int) -> None:
+        """A build was sent back: written down, whoever told of it."""
+        if build > self._gone_back:
+            self._gone_back = build
+            if self.disk.opened and not self.journal.fault:
+                self._note(GoneBack(build))
+
     def _list_of_others(self, listing: Any) -> None:
         """A hint like one's own remembered list, and a newer one."""
         if listing is None or self.facts.list_told:
@@ -541,12 +571,18 @@
             self._mute = False
             ticket = self._doubt_over()
         elif what in ("hold", "lift"):
-            self.facts.held = who if what == "hold" else ""
-            ticket = self._note(Hold(who, what == "hold"))
+            serial, self.facts.held = self.words.say(who if what == "hold" else "")
+            ticket = self._note(Hold(who, what == "hold", serial))
             _log.warning("votes", order=what, who=who)
         self._touch()
         kept = not ticket or (self.disk.opened and await self.disk.durable(ticket))
-        return Report(number, {**self.status(), "kept": kept})
+        if what in ("hold", "lift") and self.copies:
+            for line in self._lines.values():
+                line.poke()
+            with anyio.move_on_after(WORD_WAIT):
+                while not self.words.counts:
+                    await anyio.sleep(self.rules.turns.every / 4)
+        return Report(number, {**self.status(), "kept": kept, "copied": self.words.counts or not self.copies})
 
     async def _put(self, number: int, who: str, key: str, value: str) -> Message:
         """Set a key of the register, from the version that it has here."""
@@ -571,6 +607,7 @@
             "copies": len(self.holding.open), "holders": list(self.copies.ensemble) if self.copies else [],
             "open": len(self.ledger.live), "lost": len(self.ledger.lost), "held": self.facts.held,
             "commits": self.disk.commits, "mute": self._mute,
+            "few_copies": self.copies is not None and self.copies.few,
             "to_compare": self.repairing.repair.waiting if self.repairing else 0, **self._agreed(),
         }
 
@@ -618,10 +655,8 @@
 
     def news(self, event: api.RolloutNews) -> None:
         """News of builds: handed on once votes may be cast, and exposure cannot be spent already."""
-        if event.phase in (api.Phase.GOING_BACK, api.Phase.WITHDRAWN) and event.build > self._gone_back:
-            self._gone_back = event.build
-            if self.disk.opened and not self.journal.fault:
-                self._note(GoneBack(event.build))
+        if event.phase in (api.Phase.GOING_BACK, api.Phase.WITHDRAWN):
+            self._went_back(event.build)
         self._news = event
         if event.reply is not api.VoteReply.NONE or self.gates.open(Gate.VOTES):
             self._front.post(event)
--- a/frostfall/net/repair.py
+++ b/frostfall/net/repair.py
@@ -11,7 +11,7 @@
 from frostfall import log
 from frostfall.copies.catalogue import EMPTY, MARKS, Catalogue, Comparison, Mark, Question, answer
 from frostfall.copies.holding import Holding, parts_of_copy
-from frostfall.copies.repair import Pair, Repair
+from frostfall.copies.repair import LATEST, Pair, Repair
 from frostfall.membership.members import Health, Members
 from frostfall.net.disk import Disk
 from frostfall.net.group import Line
@@ -56,8 +56,9 @@
         self._numbers = count(1)
         self._reading = anyio.Lock()
         self._lives: dict[str, str] = {}  # with which life of each party something has been compared
-        self.taken = self.told_bytes = self.asked_bytes = 0
+        self.taken = self.bytes = 0  # operations and bytes that were brought here
         self._rot: set[int] = set()  # segments that are to leave
+        self._due = 0.0  # when all is compared next
 
     def keeps(self) -> Keeps:
         """What to write down of whose records are whole here."""
@@ -76,7 +77,7 @@
             while later := [each for each in journal.numbers if each > number]:
                 number = later[0]
                 await self._survey_one(number, found)
-        return {key: Catalogue(places) for key, places in found.items()}
+        return {key: await self._disk.blocking(Catalogue, places) for key, places in found.items()}
 
     async def _survey_one(self, number: int, found: dict[tuple[str, bool], dict[int, int]]) -> None:
         journal, keep = self._disk.journal, self._disk.journal.rules.keep
@@ -157,7 +158,6 @@
                 items += self._item(catalogue.place(key))
         else:
             data = answer(catalogue, Question(message.what == ENTRIES, message.depth, message.asked))
-        self.told_bytes += len(data) + sum(len(name) + len(given or b"") for _, name, given, _ in items)
         sure = sure and self._sure(message.owner, message.sender, message.token)
         return Compared(message.number, sure, self._members.token, data, items)
 
@@ -177,32 +177,38 @@
 
     async def run(self) -> None:
         """Compare at the start, when a party comes back, and once a round; for good."""
-        repair, due = self.repair, self._steady()
         while True:
-            now = self._steady()
-            if now >= due:
-                due = now + repair.rules.round
-                repair.compare(now)
-                if not repair.parties(repair.own):
-                    await self._survey()  # nobody to compare with: the checksums are looked at all the same
-            peers = self._members.peers
-            here = {name for name in self._lines if peers[name].health is Health.HERE}
-            repair.health(now, set(peers) - here)
-            for name in here:
-                if self._lives.get(name) != (token := peers[name].kept.token):
-                    self._lives[name] = token
-                    repair.compare(now, name)
-            if pairs := repair.next(now, here):
-                await self._round(pairs)
-            if repair.restored:
-                self._restored()
-            if self._rot and not repair.lost:
-                await self._leave_rot()
+            try:
+                await self._turn()
+            except Exception:
+                # Danger: one record that cannot be read must end neither the rounds nor the agent.
+                _log.exception("round failed")
+                await anyio.sleep(LATEST)
             await anyio.sleep(LOOK)
 
+    async def _turn(self) -> None:
+        repair, now, peers = self.repair, self._steady(), self._members.peers
+        if now >= self._due:
+            self._due = now + repair.rules.round
+            repair.compare(now)
+            if not repair.parties(repair.own):
+                await self._survey()  # nobody to compare with: the checksums are looked at all the same
+        here = {name for name in self._lines if peers[name].health is Health.HERE}
+        repair.health(now, set(peers) - here)
+        for name in here:
+            if self._lives.get(name) != (token := peers[name].kept.token):
+                self._lives[name] = token
+                repair.compare(now, name)
+        if pairs := repair.next(now, here):
+            await self._round(pairs)
+        if repair.restored:
+            self._restored()
+        if self._rot and not repair.lost:
+            await self._leave_rot()
+
     async def _round(self, pairs: list[Pair]) -> None:
         own, session = await self._survey(), next(self._numbers)
-        before, began = self.taken, self._steady()
+        before, size, began = self.taken, self.bytes, self._steady()
         brought: dict[tuple[str, bool], dict[int, int]] = defaultdict(dict)
         for pair in pairs:
             good = sure = False
@@ -213,7 +219,8 @@
                 _log.info("not compared", owner=pair.owner, party=pair.party, why=str(error))
             self.repair.taken(pair, self._steady(), good, sure)
         if self.taken > before:
-            _log.info("taken over", operations=self.taken - before, seconds=round(self._steady() - began, 3))
+            _log.info("taken over", operations=self.taken - before, bytes=self.bytes - size,
+                      seconds=round(self._steady() - began, 3))
 
     async def _take_over(self, pair: Pair, own: Records, session: int,
                          brought: dict[tuple[str, bool], dict[int, int]]) -> bool:
@@ -251,13 +258,14 @@
         self._lines[pair.party].call(
             lambda number: Compare(number, pair.owner, fences, what, depth, asked, self._members.own,
                                    self._members.token, session), take)
-        self.asked_bytes += 8 * len(asked)
         with anyio.move_on_after(ANSWER):
             await came.wait()
         if not told or not isinstance(told[0], Compared):
             raise Failed("no answer")
         if told[0].token != self._members.peers[pair.party].kept.token:
             raise Failed("another life of it answered")
+        told_bytes = sum(len(name) + len(given or b"") + 16 for _, name, given, _ in told[0].items)
+        self.bytes += len(told[0].data) + told_bytes + 8 * len(asked)
         return told[0]
 
     async def _restore(self, owner: str, told: Compared, had: dict[int, int]) -> None:
--- a/frostfall/protocol/group.py
+++ b/frostfall/protocol/group.py
@@ -39,6 +39,8 @@
     number: int = 0  # of the question, 0 in what is no question
     list: int = -1  # the generation of the newest server list that the sender has had from discovery
     gone_back: int = 0  # the newest build that the sender knows to have gone back
+    word: tuple[int, str] = (0, "")  # what operators told the sender to hold, with its serial number
+    kept_word: tuple[int, str] = (0, "")  # the same of the receiver, as it was written down
 
 
 class Ask(msgspec.Struct, tag="ask", array_like=True):
--- a/frostfall/recovery/facts.py
+++ b/frostfall/recovery/facts.py
@@ -42,10 +42,12 @@
 
 
 class Hold(msgspec.Struct, frozen=True, tag="hold", array_like=True):
-    """Operators hold votes for builds back, or do so no more."""
+    """Operators hold votes for builds back, or do so no more; of another member where one is named."""
 
     who: str
     on: bool
+    serial: int = 0
+    member: str = ""
 
 
 class Keeps(msgspec.Struct, frozen=True, tag="keeps", array_like=True):
--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -7,19 +7,25 @@
 from itertools import combinations
 from pathlib import Path
 
+import msgspec
 import pytest
+from click.testing import CliRunner
 from hypothesis import given
 from hypothesis import strategies as st
 
+from frostfall.cli import main
 from frostfall.copies.catalogue import Catalogue, Comparison, Mark, answer
 from frostfall.copies.repair import Repair, restores
 from frostfall.copies.rules import Copies
+from frostfall.copies.words import NONE, Words
 from frostfall.model.search import Mutation, search
 from frostfall.storage.frames import State
 from frostfall.storage.index import place_of
 from tests.test_copies import TWO, machine_lost
 from tests.test_power_loss import ran, restart, running
 
+THREE = {"kept": 3, "acknowledged": 2}
+FEW, SHORT = {**TWO, "few": "take"}, {"every": 0.1, "suspect": 2, "gone": 4}
 WHOLE = "the record is whole by its copies"
 
 
@@ -121,6 +127,141 @@
         assert all(ran(cluster, f"{name}-{place}") == 1 for name in ("n0", "n1") for place in range(8))
 
 
+def test_a_machine_back_with_an_old_folder_takes_over_what_it_missed(tmp_path: Path) -> None:
+    with running(tmp_path, copies=TWO) as cluster:
+        assert cluster.told("n2", "early") == "served"
+        cluster.kill("n2")
+        cluster.save("n2")
+        restart(cluster, "n2")
+        assert cluster.told("n2", "later") == "served"
+        cluster.servers(hold=["order"])
+        cluster.ask("n2", "out")
+        cluster.wait("ran", op="out")
+        cluster.kill("n2")
+        cluster.servers(let_go=True)
+        assert cluster.told("n0", "out", 2) == "failed"  # settled while it is away
+        cluster.restore("n2")
+        cluster.configure(new=False)
+        since = cluster.now
+        restart(cluster, "n2")
+        cluster.wait(WHOLE, who="n2", since=since)
+        told = [cluster.told("n2", name, 3) for name in ("early", "later", "out")]
+        assert told == ["served", "served", "failed"]
+        assert ran(cluster, "early") == ran(cluster, "later") == ran(cluster, "out") == 1
+
+
+def test_who_takes_over_dies_half_way_twice_and_two_take_over_at_once(tmp_path: Path) -> None:
+    with running(tmp_path, copies=THREE, agents=5) as cluster:
+        cluster.pause("n4")
+        cluster.ask("n4", "left")
+        cluster.wait("asked", op="left")
+        for tries, name in enumerate(("n0", "n1"), 2):
+            cluster.faults(name, hold="after sync")  # its own intent is down, and it goes no further
+            cluster.ask(name, "left", tries)
+            cluster.wait("held", who=name)
+            cluster.kill(name)
+            cluster.faults(name)
+            restart(cluster, name)
+        since = cluster.now
+        for tries, name in enumerate(("n2", "n3"), 4):
+            cluster.ask(name, "left", tries)
+        cluster.wait("answered", 2, since=since, op="left", id="left-t[45]")
+        cluster.wake("n4")
+        cluster.wait("answered", id="left-t1")
+        told = [cluster.told(name, "left", tries) for tries, name in enumerate(("n0", "n1", "n2", "n3"), 6)]
+        assert set(told) <= {"served", "failed"}
+        assert ran(cluster, "left") <= 1
+
+
+def test_a_third_machine_goes_during_a_repair_and_comes_back(tmp_path: Path) -> None:
+    slow = {**THREE, "rate": 1000.0}
+    with running(tmp_path, copies=slow, agents=5, load=40) as cluster:
+        cluster.wait("answered", 120, what="served")
+        assert cluster.told("n4", "kept") == "served"
+        machine_lost(cluster, "n4")
+        cluster.configure(new=False)
+        since = cluster.now
+        cluster.start("n4")
+        cluster.wait("record read", who="n4", since=since)
+        cluster.kill("n3")
+        assert cluster.told("n4", "kept", 2) == "served"
+        restart(cluster, "n3")
+        cluster.configure(copies={**THREE, "rate": 1e6})
+        cluster.kill("n4")  # once more, in the middle of its repair
+        since = cluster.now
+        restart(cluster, "n4")
+        cluster.wait(WHOLE, who="n4", since=since)
+        assert cluster.told("n4", "kept", 3) == "served"
+        assert ran(cluster, "kept") == 1
+
+
+def test_copies_over_links_that_are_slow_one_way_only_or_reset_half_way(tmp_path: Path) -> None:
+    with running(tmp_path, copies=TWO) as cluster:
+        cluster.link("n2>n0", cut=["back"])  # its words arrive, acknowledgements do not
+        cluster.link("n2>n1", delay=0.2)
+        assert cluster.told("n2", "slow") == "served"
+        cluster.link("n2>n0", cut=[])
+        for place in range(6):
+            cluster.link("n2>n*", reset_after=300 + 97 * place)
+            cluster.link("n2>n*", reset=True)
+            assert cluster.told("n2", f"reset-{place}") in ("served", "refused", "failed")
+        cluster.link("n2>n*", reset_after=None, delay=0.0)
+        machine_lost(cluster, "n2")
+        assert cluster.told("n0", "slow", 2) == "served"
+        assert ran(cluster, "slow") == 1
+        assert all(ran(cluster, f"reset-{place}") <= 1 for place in range(6))
+
+
+def test_an_operators_hold_outlives_the_disk_of_its_member(tmp_path: Path) -> None:
+    with running(tmp_path, copies=TWO) as cluster:
+        operator = str(tmp_path / "n0" / "operator.json5")
+        assert CliRunner().invoke(main, ["group", "hold", "--operator", operator, "--by", "keeper", "n2"]
+                                  ).exit_code == 0
+        machine_lost(cluster, "n2")
+        cluster.configure(new=False)
+        since = cluster.now
+        restart(cluster, "n2")
+        cluster.wait("votes", order="as others know it", agent="n2", since=since)
+        told = CliRunner().invoke(main, ["group", "status", "--operator", operator, "--json", "n2"])
+        assert msgspec.json.decode(told.output)["held"] == "keeper"
+        lift = ["group", "lift", "--operator", operator, "--by", "keeper", "n2"]
+        assert CliRunner().invoke(main, lift).exit_code == 0
+        cluster.kill("n0", "n1")
+        refused = CliRunner().invoke(main, ["group", "hold", "--operator", operator, "--by", "keeper", "n2"])
+        assert refused.exit_code == 1 and "on its own disk alone" in refused.output
+
+
+def test_a_word_counts_once_every_majority_has_one_that_knows_it() -> None:
+    for members in (3, 5, 7):
+        others = frozenset(f"n{place}" for place in range(1, members))
+        words = Words(others)
+        word = words.say("keeper")
+        for count, name in enumerate(sorted(others), 1):
+            words.heard(name, NONE, word)
+            heard = members // 2  # besides itself, by the gate that a start waits for
+            assert words.counts == (count + heard > len(others))
+    lost = Words(frozenset({"n1"}))
+    assert lost.heard("n1", NONE, (4, "keeper")) == (None, (4, "keeper")) and lost.own == (4, "keeper")
+    assert lost.heard("n1", (2, "x"), (3, "")) == ((2, "x"), None)  # what is older changes nothing
+    assert lost.heard("stranger", (9, "x"), (9, "x")) == (None, None)
+    lost.recall("n1", (2, "x"))
+    assert dict(lost.items()) == {"": (4, "keeper"), "n1": (2, "x")}
+
+
+def test_with_too_few_holders_operators_may_take_unsafe_work_all_the_same(tmp_path: Path) -> None:
+    with running(tmp_path, copies=FEW, turns=SHORT) as cluster:
+        cluster.kill("n0", "n1")
+        cluster.wait("copies", fewer="True", agent="n2")
+        assert cluster.told("n2", "alone") == "served"
+        cluster.kill("n2")
+        restart(cluster, "n0", "n1")
+        assert cluster.told("n0", "alone", 2) == "failed"  # nobody can know that it never ran
+        assert cluster.told("n1", "other", 2) == "failed"
+        restart(cluster, "n2")
+        assert cluster.told("n1", "alone", 3) == "served"
+        assert ran(cluster, "alone") == 1 and ran(cluster, "other") == 0
+
+
 # ---- small worlds, searched through ---------------------------------------------------------------------
 
 
