--- a/frostfall/net/copies.py
+++ b/frostfall/net/copies.py
@@ -21,6 +21,7 @@
 from frostfall.storage.frames import State
 
 AGAIN = 0.05  # seconds between two tries to reach a holder
+AGAIN_MOST = 2.0  # the same for what nobody waits for: doubled up to this
 LEFT_BEHIND = 10_000  # items that wait for holders which are not reached; past that, further ones do not
 
 
@@ -152,6 +153,7 @@
 
     async def _bring(self, name: str, item: Item) -> None:
         """Bring an item to one holder, however long that takes."""
+        pause = AGAIN
         try:
             while True:
                 answers: list[Message | None] = []
@@ -164,9 +166,10 @@
 
                 self._send(name, item, told)
                 await event.wait()
-                if isinstance(answers[0], Copied) and (answers[0].refused or answers[0].token):
+                if isinstance(answers[0], Copied) and (answers[0].refused or answers[0].kept):
                     return
-                await anyio.sleep(AGAIN)
+                await anyio.sleep(pause)
+                pause = min(pause * 2, AGAIN_MOST)
         finally:
             self._behind -= 1
 
@@ -179,7 +182,7 @@
         if peer is None or message.token != peer.kept.token:
             # Danger: a life that is over must not be told that its intent is kept: a later one may have been
             # told that this holder has nothing of it. No token: this word counts for nothing.
-            return Copied(message.number, False)
+            return Copied(message.number, False, kept=False)
         while (kept := self.holding.keep(message.owner, item)) is not None:
             self._disk.poke()
             if not await self._disk.durable(kept.ticket):
--- a/frostfall/net/disk.py
+++ b/frostfall/net/disk.py
@@ -22,7 +22,7 @@
 from frostfall.storage.index import place_of
 from frostfall.storage.journal import Journal, Write
 
-READ_FIRST = 512  # bytes: most records; a longer one is read again in full
+READ_FIRST, READ_MOST = 512, 1 << 17  # bytes: most records; a longer one is read again in full
 _NAME = re.compile(r"(\d{10})\.seg\Z")
 
 _log = log.get("disk")
@@ -202,18 +202,22 @@
         OSError or ValueError where the log cannot be read any more.
         """
         for segment, offset, state in self.journal.find(key):
-            version, size = self.journal.version_of(segment), READ_FIRST
-            raw = self.folder.part(segment, offset, size)
-            if len(raw) == size:
-                size = 1 << 17
-                raw = self.folder.part(segment, offset, size)
-            record = frames.record_at(raw, version)
+            record = self.record(segment, offset)
             if record is None or record[1] != key:
                 raise ValueError(f"segment {segment}, byte {offset}: not what was written")
             if wanted(record[2]):
                 return state, record[2], place_of(segment, offset, state)
         return None
 
+    def record(self, segment: int, offset: int) -> tuple[State, int, bytes] | None:
+        """State, key and payload of the record that stands there, None where none does. Blocks shortly."""
+        version = self.journal.version_of(segment)
+        raw = self.folder.part(segment, offset, READ_FIRST)
+        record = frames.record_at(raw, version)
+        if record is None and len(raw) == READ_FIRST:
+            record = frames.record_at(self.folder.part(segment, offset, READ_MOST), version)
+        return record
+
     async def run(self) -> None:
         """Carry out what the journal has to write, for good."""
         while True:
--- a/frostfall/net/repair.py
+++ b/frostfall/net/repair.py
@@ -23,13 +23,14 @@
 from frostfall.storage.index import parts_of, place_of
 from frostfall.storage.journal import key_of
 
-TOGETHER = 32  # operations in one answer
+TOGETHER = 256  # operations in one answer, which has so many bytes at most, but for the last one's
+TOGETHER_BYTES = 256 * 1024
+BLOCK = 32  # of them that are read or written before others have a turn
 SLICE = 64  # records that are read through before others have a turn
 REST = 0.002  # seconds of that turn at least
 LOOK = 0.25  # seconds between two looks for what is due
 ANSWER = 10.0  # seconds in which a party has to answer; it may have to read its own log through first
 IDLE = 60.0  # seconds for which a party's session is kept
-RECORD_MOST = 1 << 17  # bytes of a record
 
 _log = log.get("repair")
 Records = dict[tuple[str, bool], Catalogue]  # by owner, operations or fences
@@ -121,8 +122,7 @@
             segment, offset, state = parts_of(place)
             if segment > until or state in (State.OPEN, State.LOST):
                 continue  # every new segment begins with these
-            raw = self._disk.folder.part(segment, offset, RECORD_MOST)
-            record = frames.record_at(raw, journal.version_of(segment))
+            record = self._disk.record(segment, offset)
             if record and journal.holds(record[1], place):
                 text, aged = record[2], int(journal.age(segment, self._disk.elapsed)) + aged_in(record[2])
                 again = payload(name_in(text), answer_in(text), max(aged, 1))
@@ -154,8 +154,15 @@
         catalogue = known[2].get((message.owner, message.fences), EMPTY)
         data, items = b"", list[tuple[int, str, bytes | None, int]]()
         if message.what == ITEMS:
+            seen = size = 0
             for key in message.asked[:TOGETHER]:
                 items += self._item(catalogue.place(key))
+                seen, size = seen + 1, size + (len(items[-1][2] or b"") if items else 0)
+                if size >= TOGETHER_BYTES:
+                    break
+                if seen % BLOCK == 0:
+                    await anyio.sleep(0)
+            data = seen.to_bytes(4, "little")
         else:
             data = answer(catalogue, Question(message.what == ENTRIES, message.depth, message.asked))
         sure = sure and self._sure(message.owner, message.sender, message.token)
@@ -165,8 +172,7 @@
         if not place:
             return []
         journal, (segment, offset, state) = self._disk.journal, parts_of(place)
-        raw = self._disk.folder.part(segment, offset, RECORD_MOST)
-        record = frames.record_at(raw, journal.version_of(segment))
+        record = self._disk.record(segment, offset)
         if record is None or not journal.holds(record[1], place):
             return []  # it has moved since: the next round has it
         ended = state not in (State.OPEN, State.LOST)
@@ -240,9 +246,12 @@
                     raise Failed(str(error)) from None
             had = brought[pair.owner, fences]
             keys = [key for key, mark in comparison.lacking if had.get(key, 0) < mark]
-            for at in range(0, len(keys), TOGETHER):
-                told = await self._ask(pair, fences, ITEMS, 0, keys[at:at + TOGETHER], session)
-                sure = sure and told.sure
+            while keys:
+                told = await self._ask(pair, fences, ITEMS, 0, keys[:TOGETHER], session)
+                sure, seen = sure and told.sure, int.from_bytes(told.data, "little")
+                if not 0 < seen <= TOGETHER:
+                    raise Failed("no items")
+                keys = keys[seen:]
                 await self._restore(pair.owner, told, had)
         return sure
 
@@ -270,7 +279,10 @@
 
     async def _restore(self, owner: str, told: Compared, had: dict[int, int]) -> None:
         ticket, size, maybe = 0, 0, list[str]()
-        for state, name, given, aged in told.items:
+        for place, (state, name, given, aged) in enumerate(told.items, 1):
+            if place % BLOCK == 0:
+                self._disk.poke()
+                await anyio.sleep(0)
             mark = MARKS[State(state)]
             if owner == self._disk.journal.owner:
                 new = self._ledger.restore(State(state), name, given, aged)
--- a/frostfall/protocol/group.py
+++ b/frostfall/protocol/group.py
@@ -77,7 +77,8 @@
 
     number: int
     refused: bool
-    token: str = ""  # of the holder's life
+    token: str = ""  # of the holder's life, where its word counts
+    kept: bool = True  # whether it is on disk at all
 
 
 class Read(msgspec.Struct, tag="read", array_like=True):
