--- a/frostfall/copies/catalogue.py
+++ b/frostfall/copies/catalogue.py
@@ -15,7 +15,7 @@
 from enum import IntEnum
 
 from frostfall.storage.frames import State
-from frostfall.storage.index import parts_of
+from frostfall.storage.index import parts_of, place_of
 
 FAN, BITS, DEEPEST = 16, 4, 15  # children of a node, bits of a key that they take, and how far that goes
 LEAF = 16  # entries of a node that are told one by one instead of by further sums
@@ -50,6 +50,12 @@
             total = (total + key * (2 * MARKS[parts_of(place)[2]] + 1)) & _MASK
             self._totals.append(total)
 
+    def with_more(self, states: Mapping[int, State]) -> Catalogue:
+        """The same with what was taken over meanwhile, whose places do not matter."""
+        places = dict(zip(self._keys, self._places))
+        places.update((key, place_of(0, 0, state)) for key, state in states.items())
+        return Catalogue(places)
+
     def __len__(self) -> int:
         """How many there are."""
         return len(self._keys)
--- a/frostfall/net/repair.py
+++ b/frostfall/net/repair.py
@@ -215,11 +215,10 @@
     async def _round(self, pairs: list[Pair]) -> None:
         own, session = await self._survey(), next(self._numbers)
         before, size, began = self.taken, self.bytes, self._steady()
-        brought: dict[tuple[str, bool], dict[int, int]] = defaultdict(dict)
         for pair in pairs:
             good = sure = False
             try:
-                sure = await self._take_over(pair, own, session, brought)
+                sure = await self._take_over(pair, own, session)
                 good = True
             except Failed as error:
                 _log.info("not compared", owner=pair.owner, party=pair.party, why=str(error))
@@ -228,14 +227,14 @@
             _log.info("taken over", operations=self.taken - before, bytes=self.bytes - size,
                       seconds=round(self._steady() - began, 3))
 
-    async def _take_over(self, pair: Pair, own: Records, session: int,
-                         brought: dict[tuple[str, bool], dict[int, int]]) -> bool:
+    async def _take_over(self, pair: Pair, own: Records, session: int) -> bool:
         """Take what a party has of an owner's record and this member lacks; whether the party was sure."""
         sure = True
         for fences in (False, True):
             if fences and pair.owner in (pair.party, self.repair.own):
                 continue  # an owner has none
-            comparison = Comparison(own.get((pair.owner, fences), EMPTY))
+            mine, had = own.get((pair.owner, fences), EMPTY), dict[int, State]()
+            comparison = Comparison(mine)
             while question := comparison.question():
                 what = ENTRIES if question.entries else SUMS
                 told = await self._ask(pair, fences, what, question.depth, question.prefixes, session)
@@ -244,8 +243,7 @@
                     comparison.answered(question, told.data)
                 except ValueError as error:
                     raise Failed(str(error)) from None
-            had = brought[pair.owner, fences]
-            keys = [key for key, mark in comparison.lacking if had.get(key, 0) < mark]
+            keys = [key for key, _ in comparison.lacking]
             while keys:
                 told = await self._ask(pair, fences, ITEMS, 0, keys[:TOGETHER], session)
                 sure, seen = sure and told.sure, int.from_bytes(told.data, "little")
@@ -253,6 +251,8 @@
                     raise Failed("no items")
                 keys = keys[seen:]
                 await self._restore(pair.owner, told, had)
+            if had:  # so that the next party's sums are not asked for all over again
+                own[pair.owner, fences] = await self._disk.blocking(mine.with_more, had)
         return sure
 
     async def _ask(self, pair: Pair, fences: bool, what: int, depth: int, asked: list[int],
@@ -277,7 +277,7 @@
         self.bytes += len(told[0].data) + told_bytes + 8 * len(asked)
         return told[0]
 
-    async def _restore(self, owner: str, told: Compared, had: dict[int, int]) -> None:
+    async def _restore(self, owner: str, told: Compared, had: dict[int, State]) -> None:
         ticket, size, maybe = 0, 0, list[str]()
         for place, (state, name, given, aged) in enumerate(told.items, 1):
             if place % BLOCK == 0:
@@ -292,7 +292,7 @@
                 new = self._holding.restore(owner, State(state), name, given, aged)
             if new is None:
                 raise Failed(f"{name} is under way here")
-            had[key_of(name)] = mark
+            had[key_of(name)] = State(state)
             ticket, self.taken = max(ticket, new), self.taken + (new > 0)
             size += len(name) + len(given or b"") + 32
         self._disk.poke()
