--- a/frostfall/copies/catalogue.py
+++ b/frostfall/copies/catalogue.py
@@ -134,7 +134,7 @@
         self._own = own
         self._sums: list[tuple[int, int]] = [(0, 0)]  # nodes whose children's sums are to be asked for
         self._leaves: list[tuple[int, int]] = []  # nodes whose entries are
-        self.lacking: list[tuple[int, int]] = []
+        self.lacking: list[int] = []  # keys
 
     def question(self) -> Question | None:
         """The next one, of nodes of one depth; None where all is known."""
@@ -155,9 +155,9 @@
             if len(data) % _ENTRY:
                 raise ValueError("entries of another length")
             for at in range(0, len(data), _ENTRY):
-                key, mark = int.from_bytes(data[at:at + 8], "big"), data[at + 8]
-                if self._own.lacks(key, mark):
-                    self.lacking.append((key, mark))
+                key = int.from_bytes(data[at:at + 8], "big")
+                if self._own.lacks(key, data[at + 8]):
+                    self.lacking.append(key)
             return
         if len(data) != _CHILD * FAN * len(question.prefixes):
             raise ValueError("sums of another length")
--- a/frostfall/copies/repair.py
+++ b/frostfall/copies/repair.py
@@ -28,8 +28,6 @@
     `own`: it is this member's own record; `owner`: the owner's was taken over, `others`: so many holders'.
     """
     needed, read = min(rules.acknowledged, ensemble), rules.read(ensemble)
-    if rules.few == "take" and not own:
-        return owner and needed < ensemble and others >= needed
     if own:
         return others >= read
     # Danger: where all holders have to acknowledge, one fence is enough, and it may have been here alone.
--- a/frostfall/net/repair.py
+++ b/frostfall/net/repair.py
@@ -98,7 +98,7 @@
             text = bytes(data)
             owner, name = parts_of_copy(name_in(text))
             ended = State(state) not in (State.OPEN, State.LOST)
-            if ended and journal.age(number, self._disk.elapsed) + aged_in(text) >= keep:
+            if ended and self._age(number, text) >= keep:
                 continue  # it is about to leave here, and must not live for ever by going round
             found[owner or self._disk.journal.owner, state == State.FENCED][key_of(name)] = place
         # Danger: a tail that seems torn was whole once where the batches that are on disk do not all stand.
@@ -106,6 +106,10 @@
         if bad and journal.size_of(number):
             self._spoilt(number, segment.good, segment.why)
 
+    def _age(self, segment: int, data: bytes) -> float:
+        """Seconds of running that a record there is old at most, also where it was brought."""
+        return self._disk.journal.age(segment, self._disk.elapsed) + aged_in(data)
+
     def _spoilt(self, number: int, offset: int, why: str) -> None:
         lost = self._disk.journal.spoilt(number, offset)
         if number not in self._rot:
@@ -124,8 +128,8 @@
                 continue  # every new segment begins with these
             record = self._disk.record(segment, offset)
             if record and journal.holds(record[1], place):
-                text, aged = record[2], int(journal.age(segment, self._disk.elapsed)) + aged_in(record[2])
-                again = payload(name_in(text), answer_in(text), max(aged, 1))
+                text = record[2]
+                again = payload(name_in(text), answer_in(text), max(int(self._age(segment, text)), 1))
                 ticket = journal.append(Record(state, record[1], again, place))
                 self._disk.poke()
                 if ticket % SLICE == 0 and not await self._disk.durable(ticket):
@@ -156,8 +160,9 @@
         if message.what == ITEMS:
             seen = size = 0
             for key in message.asked[:TOGETHER]:
-                items += self._item(catalogue.place(key))
-                seen, size = seen + 1, size + (len(items[-1][2] or b"") if items else 0)
+                found = self._item(catalogue.place(key))
+                items += found
+                seen, size = seen + 1, size + sum(len(given or b"") for _, _, given, _ in found)
                 if size >= TOGETHER_BYTES:
                     break
                 if seen % BLOCK == 0:
@@ -176,7 +181,7 @@
         if record is None or not journal.holds(record[1], place):
             return []  # it has moved since: the next round has it
         ended = state not in (State.OPEN, State.LOST)
-        aged = int(journal.age(segment, self._disk.elapsed)) + aged_in(record[2]) if ended else 0
+        aged = int(self._age(segment, record[2])) if ended else 0
         return [(state, parts_of_copy(name_in(record[2]))[1], answer_in(record[2]), aged)]
 
     # ---- rounds ----------------------------------------------------------------------------------------
@@ -243,7 +248,7 @@
                     comparison.answered(question, told.data)
                 except ValueError as error:
                     raise Failed(str(error)) from None
-            keys = [key for key, _ in comparison.lacking]
+            keys = comparison.lacking
             while keys:
                 told = await self._ask(pair, fences, ITEMS, 0, keys[:TOGETHER], session)
                 sure, seen = sure and told.sure, int.from_bytes(told.data, "little")
--- a/frostfall/storage/journal.py
+++ b/frostfall/storage/journal.py
@@ -111,9 +111,10 @@
         Danger: that an older one is removed may not be on disk; damaged, it would make all of it unusable.
         """
         for number in reversed(numbers):
-            read = frames.read(load(number), number == numbers[-1], lambda *record: None)
-            if read.header and read.header.owner == self.owner and read.batches:
-                return read.header.first
+            found = frames.Segment()
+            first = next(frames.walk(load(number), number == numbers[-1], found), None)
+            if first and found.header and found.header.owner == self.owner:
+                return found.header.first
         return 0
 
     def _read(self, number: int, raw: bytes, last: bool, recall: Callable[[bytes], None]) -> None:
