--- a/frostfall/net/discovery.py
+++ b/frostfall/net/discovery.py
@@ -12,7 +12,8 @@
 from frostfall.protocol.listing import CallFailed, Listing, Watch
 
 WAIT_PART = 0.5  # of the time that the settings allow between questions: how long one call waits for news
-ANSWER_EXTRA = 2.0  # seconds past that wait: discovery works through calls in turn and gives up as late
+WAIT_MOST = 4.0  # seconds: what a silent watch misses counts as told after six, and a new call needs time
+ANSWER_EXTRA = 1.0  # seconds past that wait: discovery answers in turn; after two, its news counts as told
 BACK_OFF, BACK_OFF_MOST = 0.2, 4.0  # seconds between watches that fail unasked, doubling, with jitter
 
 _log = log.get("discovery")
@@ -26,7 +27,7 @@
         """Watch for what is newer than a version; where nobody has to ask, again by itself."""
         self._address = address
         self._since = since
-        self._wait = max(ask_within / 1e6 * WAIT_PART, 1.0)
+        self._wait = min(max(ask_within / 1e6 * WAIT_PART, 1.0), WAIT_MOST)
         self._told, self._failed = told, failed
         self._asked = anyio.Event()
         self._unasked = unasked
@@ -52,43 +53,58 @@
                 self._asked.set()
             await self._asked.wait()
             why, heard = "failed", self._heard
-            with anyio.CancelScope() as self._watching:
+            with anyio.CancelScope() as scope:
+                self._watching = scope
                 try:
-                    why = await self._watch()
+                    why = await self._watch(scope)
                 except Exception:
                     _log.exception("watch failed")
-            if self._watching.cancel_called:  # moved: it goes on elsewhere
-                continue
-            _log.info("watch ended", why=why)
-            self._asked = anyio.Event()
-            self._failed()
-            if self._unasked:
-                await back_off.rest(self._heard > heard)
+                if scope.cancel_called:  # moved: it goes on elsewhere
+                    continue
+                _log.info("watch ended", why=why)
+                self._asked = anyio.Event()
+                self._failed()
+                if self._unasked:
+                    # Danger: outside the scope a move would wait for the rest to end, and pushed lists count
+                    # as told meanwhile.
+                    await back_off.rest(self._heard > heard)
 
-    async def _watch(self) -> str:
+    async def _watch(self, scope: anyio.CancelScope) -> str:
         try:
             while True:
                 async with connected(self._address) as stream:
-                    if (why := await self._calls(stream)) is not None:
+                    if (why := await self._calls(stream, scope)) is not None:
                         return why
         except (OSError, *ENDED) as error:
             return repr(error)
 
-    async def _calls(self, stream: Stream) -> str | None:
+    async def _calls(self, stream: Stream, scope: anyio.CancelScope) -> str | None:
         """Call after call on one connection; why the watch ended, or None where only the connection did."""
-        watch = Watch(str(self._address))
+        watch, answered = Watch(str(self._address)), False
         while True:
             answer = await self._call(stream, watch)
+            if answer is None:
+                # Danger: a watch that has fallen silent has to be opened anew before what it misses counts as
+                # told, and a failure that is told waits for the module to ask again.
+                return None if answered else "no answer in time"
             if isinstance(answer, CallFailed):
                 return answer.why
-            # Danger: the next call has to be out within 200 ms, whatever the news set off.
-            self._since = answer.generation
+            answered = True
+            # Danger: an answer may be read already as the watch moves. It counts as told, but its version is
+            # the old service's, and of the new one the whole list is wanted.
+            moved = scope.cancel_called
+            if not moved:
+                self._since = answer.generation
             self._heard += 1
+            # Danger: the next call has to be out within 200 ms, whatever the news set off.
             self._told(answer)
+            if moved:
+                return "moved"
             if not watch.reusable:
                 return None
 
-    async def _call(self, stream: Stream, watch: Watch) -> Listing | CallFailed:
+    async def _call(self, stream: Stream, watch: Watch) -> Listing | CallFailed | None:
+        """One call's answer; None where none comes in time."""
         with anyio.move_on_after(self._wait + ANSWER_EXTRA):
             await stream.send(watch.call(self._since, int(self._wait * 1000)))
             while True:
@@ -98,4 +114,4 @@
                     data = b""
                 if (answer := watch.feed(data)) is not None:
                     return answer
-        return CallFailed("no answer in time")
+        return None
--- a/frostfall/net/platform.py
+++ b/frostfall/net/platform.py
@@ -23,8 +23,11 @@
 
 @dataclass(slots=True)
 class _Vote:
+    """A vote on its way; `over` once its reply has been told, `done` also where its connection has ended."""
+
+    action: CastVote
+    over: bool = False
     done: anyio.Event = field(default_factory=anyio.Event)
-    answer: RolloutNews | VoteReply | None = None
 
 
 class Platform:
@@ -39,7 +42,8 @@
         self._stream: Stream | None = None
         self._sending = anyio.Lock()
         self._number = 0
-        self._out: dict[int, _Vote] = {}
+        self._under_way = 0
+        self._sent: dict[int, _Vote] = {}  # votes without an answer on this connection
         self._group: TaskGroup | None = None
         self._listening: anyio.CancelScope | None = None
 
@@ -51,7 +55,7 @@
 
     def cast(self, action: CastVote) -> None:
         """Send a vote; its reply is told later."""
-        if self._group is None or len(self._out) >= VOTES_MOST:
+        if self._group is None or self._under_way >= VOTES_MOST:
             self._told(news.without_state(action, VoteReply.ERROR))
         else:
             self._group.start_soon(self._vote, action)
@@ -81,8 +85,9 @@
             return repr(error)
         finally:
             self._stream = None
-            for vote in self._out.values():
+            for vote in self._sent.values():
                 vote.done.set()
+            self._sent = {}
 
     async def _read(self, stream: Stream) -> str:
         lines = rpc.Lines()
@@ -116,43 +121,55 @@
                 self._told(state)
             case rpc.Notification(method, _):
                 return None if method == news.PING else f"an unknown notification {method[:20]!r}"
-            case rpc.Result(number, value) if (vote := self._out.get(number)):
-                state = news.read(value, VoteReply.COUNTED)
+            case rpc.Result(number, value) if (vote := self._sent.get(number)):
+                # Danger: told by the vote's own task, a state would come after newer news that was read with
+                # it, and bring back an older stage; after the vote's time-out it would not be told at all.
+                state = news.read(value, VoteReply.NONE if vote.over else VoteReply.COUNTED)
                 if isinstance(state, str):
                     return state
-                vote.answer = state
-                vote.done.set()
-            case rpc.Failure(number, text) if (vote := self._out.get(number)):
-                vote.answer = news.reply_to_error(text)
-                vote.done.set()
+                self._settle(number, vote, state)
+            case rpc.Failure(number, text) if (vote := self._sent.get(number)):
+                self._settle(number, vote, news.without_state(vote.action, news.reply_to_error(text)))
         return None
 
+    def _settle(self, number: int, vote: _Vote, answer: RolloutNews) -> None:
+        """Tell what became of a vote, in the order in which it was told here."""
+        # Answers come in order: what has timed out and was asked before this gets none any more.
+        self._sent = {other: each for other, each in self._sent.items()
+                      if other != number and (other > number or not each.over)}
+        if not vote.over:
+            self._end(vote, answer)
+        elif answer.reply is VoteReply.NONE:
+            self._told(answer)
+
+    def _end(self, vote: _Vote, answer: RolloutNews) -> None:
+        vote.over = True
+        vote.done.set()
+        action = vote.action
+        _log.info("vote", build=action.build, stage=action.stage, verdict=action.verdict.name,
+                  reply=answer.reply.name)
+        self._told(answer)
+
     async def _vote(self, action: CastVote) -> None:
         """Carry one vote through; `reply` follows how far it had come."""
-        vote, number, reply = _Vote(), self._next(), VoteReply.ERROR
+        vote, number, reply = _Vote(action), self._next(), VoteReply.ERROR
+        self._under_way += 1
         try:
             with anyio.move_on_after(self._vote_timeout):
                 async with self._sending:
                     stream = self._stream
                     if stream is None:
                         return
-                    self._out[number] = vote
+                    self._sent[number] = vote
                     reply = VoteReply.UNKNOWN  # from here on it may have been carried out
                     try:
                         await stream.send(rpc.call(number, news.VERDICT, news.vote(action)))
                     except ENDED:
                         return
                 await vote.done.wait()
-            if isinstance(vote.answer, RolloutNews):
-                reply = VoteReply.COUNTED
-                self._told(vote.answer)
-            elif vote.answer is not None:
-                reply = vote.answer
         except Exception:
             _log.exception("vote failed")
         finally:
-            self._out.pop(number, None)
-            _log.info("vote", build=action.build, stage=action.stage, verdict=action.verdict.name,
-                      reply=reply.name)
-            if reply is not VoteReply.COUNTED:
-                self._told(news.without_state(action, reply))
+            self._under_way -= 1
+            if not vote.over:
+                self._end(vote, news.without_state(action, reply))
--- /dev/null
+++ b/tests/test_crossing_lists.py
@@ -0,0 +1,199 @@
+"""Where two events cross on the watch: a move and an answer, a move and a rest, silence and its news."""
+
+from __future__ import annotations
+
+import socket
+
+import anyio
+import anyio.lowlevel
+import pytest
+from anyio.abc import ByteStream
+
+from frostfall.config import Address
+from frostfall.net import discovery as driver
+from frostfall.net.streams import Stream, unconnected
+from tests.standins import LONG, free_port, listening
+from tests.test_net_discovery import Service, Watched, response
+
+pytestmark = pytest.mark.anyio
+TURNS = 8  # of the event loop: an answer that is there is read within them, in whichever of them it is
+
+
+class Desk:
+    """A discovery service whose bytes go out without a turn of the event loop."""
+
+    def __init__(self) -> None:
+        self.listener = unconnected(Address("127.0.0.1", 0))
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen()
+        self.address = Address(*self.listener.getsockname())
+        self.raw: socket.socket | None = None
+
+    async def call(self) -> str:
+        """The next call's target."""
+        with anyio.fail_after(LONG):
+            if self.raw is None:
+                await anyio.wait_readable(self.listener)
+                self.raw, _ = self.listener.accept()
+                self.raw.setblocking(False)
+            data = b""
+            while b"\r\n\r\n" not in data:
+                await anyio.wait_readable(self.raw)
+                data += self.raw.recv(4096)
+        return data.split()[1].decode()
+
+    def answer(self, data: bytes) -> None:
+        assert self.raw
+        self.raw.sendall(data)
+
+    def close(self) -> None:
+        for each in (self.raw, self.listener):
+            if each:
+                each.close()
+
+
+@pytest.mark.parametrize("turns", range(TURNS))
+@pytest.mark.parametrize("unasked", [False, True])
+async def test_after_a_move_the_whole_list_is_asked_for_whenever_an_answer_came(
+        turns: int, unasked: bool) -> None:
+    old, new = Desk(), Desk()
+    watched = Watched(old.address, unasked=unasked)
+    async with anyio.create_task_group() as group:
+        group.start_soon(watched.driver.run)
+        watched.driver.ask()
+        assert await old.call() == "/v1/servers?since=41&timeout_ms=1000"
+        old.answer(response(7000))
+        for _ in range(turns):
+            await anyio.lowlevel.checkpoint()
+        watched.driver.move(new.address)
+        # Danger: asked for what is newer than the old service's version, the new one tells too little.
+        assert await new.call() == "/v1/servers"
+        new.answer(response(3, whole=True))
+        assert await new.call() == "/v1/servers?since=3&timeout_ms=1000"
+        assert [each.generation for each in watched.lists][-1] == 3 and watched.failures == 0
+        group.cancel_scope.cancel()
+    for desk in (old, new):
+        desk.close()
+
+
+@pytest.mark.parametrize("unasked", [False, True])
+async def test_a_move_does_not_wait_for_the_rest_after_a_failure(
+        unasked: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(driver, "BACK_OFF", 1000.0)
+    monkeypatch.setattr(driver, "BACK_OFF_MOST", 1000.0)
+    new = Desk()
+    watched = Watched(Address("127.0.0.1", free_port()), unasked=unasked)
+    async with anyio.create_task_group() as group:
+        group.start_soon(watched.driver.run)
+        watched.driver.ask()
+        await watched.until(lambda: watched.failures == 1)
+        await anyio.wait_all_tasks_blocked()  # it rests, or waits to be asked
+        watched.driver.move(new.address)
+        assert await new.call() == "/v1/servers"
+        group.cancel_scope.cancel()
+    new.close()
+
+
+async def test_a_watch_fallen_silent_is_opened_anew_without_a_failure(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(driver, "ANSWER_EXTRA", 0.05)
+
+    async def answer(stream: ByteStream, count: int) -> bool:
+        if count == 2:
+            await anyio.sleep_forever()  # it fell silent; nothing says so
+        await stream.send(response(41 + count))
+        return count < 4 or await anyio.sleep_forever() is None
+
+    service = Service(answer)
+    async with listening(service) as address, anyio.create_task_group() as group:
+        watched = Watched(address)
+        group.start_soon(watched.driver.run)
+        watched.driver.ask()
+        await watched.until(lambda: len(watched.lists) == 2)
+        assert service.connections == 2 and watched.failures == 0
+        assert service.targets[1] == service.targets[2] == "/v1/servers?since=42&timeout_ms=1000"
+        group.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("ask_within", [500_000, 2_000_000, 10_000_000, 60_000_000])
+async def test_a_silent_watch_is_opened_anew_a_second_before_its_news_counts_as_told(
+        ask_within: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    # What it misses counts as told 6 s after it fell silent, or 2 s past its wait if that is later.
+    waits: list[float] = []
+    move_on_after = anyio.move_on_after
+
+    def spy(delay: float | None, shield: bool = False) -> anyio.CancelScope:
+        waits.append(delay or 0.0)
+        return move_on_after(0, shield=shield)
+
+    async def silent(_: ByteStream, __: int) -> bool:
+        await anyio.sleep_forever()
+        return False
+
+    service = Service(silent)
+    async with listening(service) as address, anyio.create_task_group() as group:
+        watched = Watched(address, ask_within)
+        group.start_soon(watched.driver.run)
+        monkeypatch.setattr(driver.anyio, "move_on_after", spy)
+        watched.driver.ask()
+        await watched.until(lambda: watched.failures == 1)
+        monkeypatch.undo()
+        wait = watched.driver._wait
+        assert waits == [wait + driver.ANSWER_EXTRA]
+        assert waits[0] + 1.0 <= max(6.0, wait + 2.0)
+        group.cancel_scope.cancel()
+
+
+async def test_an_indented_list_and_one_that_comes_byte_by_byte_are_read() -> None:
+    body = b'{\n  "generation": 42,\n  "reset": true,\n  "instances": [\n  ]\n}\n'
+    data = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+    async def answer(stream: ByteStream, count: int) -> bool:
+        for size in range(0, len(data)):
+            await stream.send(data[size:size + 1])
+        return await anyio.sleep_forever() is None
+
+    async with listening(Service(answer)) as address, anyio.create_task_group() as group:
+        watched = Watched(address)
+        group.start_soon(watched.driver.run)
+        watched.driver.ask()
+        await watched.until(lambda: bool(watched.lists))
+        assert watched.lists[0].generation == 42 and watched.lists[0].reset
+        group.cancel_scope.cancel()
+
+
+async def test_of_two_moves_in_a_row_the_last_one_holds() -> None:
+    one, two, three = Desk(), Desk(), Desk()
+    watched = Watched(one.address)
+    async with anyio.create_task_group() as group:
+        group.start_soon(watched.driver.run)
+        watched.driver.ask()
+        await one.call()
+        watched.driver.move(two.address)
+        watched.driver.move(three.address)
+        assert await three.call() == "/v1/servers"
+        assert two.raw is None and watched.failures == 0
+        group.cancel_scope.cancel()
+    for desk in (one, two, three):
+        desk.close()
+
+
+async def test_a_stream_that_is_closed_while_it_is_read_tells_its_reader() -> None:
+    left, right = socket.socketpair()
+    stream = Stream.__new__(Stream)
+    left.setblocking(False)
+    stream._raw = left
+    ended = anyio.Event()
+
+    async def read() -> None:
+        with pytest.raises(anyio.ClosedResourceError):
+            await stream.receive()
+        ended.set()
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(read)
+        await anyio.wait_all_tasks_blocked()
+        stream.close()
+        with anyio.fail_after(LONG):
+            await ended.wait()
+    right.close()
