--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -177,8 +177,24 @@
 
     # ---- guards: every send and refusal passes here, whatever policy chose it ----------------------------
 
-    def _may_send(self, request: Request, server: Known) -> bool:
+    def may_write(self, now: int, name: str, number: int) -> bool:
+        """Whether an attempt may still go out: to be asked just before its first byte."""
+        # Danger: while it waits for a connection, a grace or window ends, a cap falls, its server restarts.
+        self.now, request = now, self.requests.get(name)
+        if request is None or request.attempts[number].outcome is not None:
+            return False
+        attempt = request.attempts[number]
+        log = self.exposed[attempt.server.info.build, request.group]
+        if attempt.sent_at in log:  # it counts from when it is written, if it is
+            log.remove(attempt.sent_at)
+        if may := self._may_send(request, attempt.server, attempt):
+            log.append(now)
+        return may
+
+    def _may_send(self, request: Request, server: Known, writing: Attempt | None = None) -> bool:
         kind, tries, info = request.kind, request.attempts, server.info
+        if writing:
+            tries = [attempt for attempt in tries if attempt is not writing]
         if (request.done or self.now >= request.event.deadline or len(tries) >= self.limits.max_attempts
                 or info.availability is not Availability.UP or self.servers.get(info.id) is not server):
             return False
@@ -187,8 +203,8 @@
             if (earlier.outcome is None and not parallel) or (
                     earlier.may_have_run and not self._repeatable(kind, earlier, info)):
                 return False
-        warm = self._age(server) >= self.rules.warm_up
-        return self._within_exposure(request, info.build) and (warm or self._credit(server) >= 1)
+        paid = writing is not None or self._age(server) >= self.rules.warm_up  # of the cold budget
+        return self._within_exposure(request, info.build) and (paid or self._credit(server) >= 1)
 
     def _repeatable(self, kind: api.RequestClass, earlier: Attempt, target: api.Server) -> bool:
         if kind.effect is not Effect.KEYED:
@@ -405,7 +421,7 @@
         allowed = outcome.never_ran or request.kind.effect is not Effect.UNSAFE
         if not allowed or request.event.deadline - self.now < ANSWER_EARLY or self.retry_tokens < 1:
             return self._give_up(request)
-        self.retry_tokens -= 1.0 if outcome is not Outcome.UNREACHABLE else 0.2
+        self.retry_tokens -= 0.2 if outcome in (Outcome.UNREACHABLE, Outcome.NEVER_SENT) else 1.0
         return self._place(request)
 
     def _learn(self, request: Request, attempt: Attempt, event: api.AttemptEnded) -> None:
--- a/frostfall/net/agent.py
+++ b/frostfall/net/agent.py
@@ -234,8 +234,14 @@
             return
         request.out += 1
 
-        def write() -> bytes:
-            return request.statement.waiting((deadline - self.clock.now()) // 1000)
+        def write() -> bytes | None:
+            now = self.clock.now()
+            # Danger: an id may have another address by now; what is written to the old one reaches whoever
+            # listens there.
+            if request.done or self._addresses.get(action.server) != target or not (
+                    self.brain.may_write(now, action.request, number)):
+                return None
+            return request.statement.waiting((deadline - now) // 1000)
 
         def done(ending: Ending) -> None:
             self._ended(request, action, number, began, ending)
@@ -246,7 +252,8 @@
             self._group.start_soon(self._appliances.attempt, attempt, target, write, deadline, done)
 
     async def _when_clear(self, request: _Request, attempt: Attempt, target: Address,
-                          write: Callable[[], bytes], deadline: int, done: Callable[[Ending], None]) -> None:
+                          write: Callable[[], bytes | None], deadline: int,
+                          done: Callable[[Ending], None]) -> None:
         """Carry an attempt through once it may be written; with a record kept, unsafe ones wait for it."""
         assert self._recovery
 
--- a/frostfall/net/appliances.py
+++ b/frostfall/net/appliances.py
@@ -114,15 +114,18 @@
         """How many connections are open or being opened."""
         return self._count
 
-    async def attempt(self, attempt: Attempt, address: Address, statement: Callable[[], bytes],
+    async def attempt(self, attempt: Attempt, address: Address, statement: Callable[[], bytes | None],
                       deadline: int, done: Callable[[Ending], None]) -> None:
-        """Carry one attempt through and tell its end, exactly once; the connection goes back to the pool."""
+        """Carry one attempt through and tell its end, exactly once; the connection goes back to the pool.
+
+        `statement` is asked for just before the first byte; with None the attempt is withdrawn.
+        """
         try:
             await self._attempt(attempt, address, statement, deadline, done)
         except Exception:
             _log.exception("end of attempt failed")
 
-    async def _attempt(self, attempt: Attempt, address: Address, statement: Callable[[], bytes],
+    async def _attempt(self, attempt: Attempt, address: Address, statement: Callable[[], bytes | None],
                        deadline: int, done: Callable[[Ending], None]) -> None:
         connection: Connection | None = None
         ending = Ending(Progress.NO_CONNECTION, why="failed")
@@ -137,6 +140,8 @@
                         return
                     connection = opened
                     if not connection.usable:
+                        self._drop(connection)
+                        connection = None
                         ending = Ending(Progress.NOT_WRITTEN, why="closed before it was used")
                         return
                 ending = await self._exchange(connection, attempt, statement)
@@ -152,24 +157,28 @@
         except Exception as error:
             _log.exception("attempt failed")
             ending = Ending(max(attempt.progress, Progress.WRITTEN), why=repr(error))
-        finally:
             if connection is not None:
-                connection.attempt = None
+                self._drop(connection)
+                connection = None
+        finally:
             # Danger: the end is told when the connection is closed, or a second copy could be out beside it.
-            if connection is not None and (
-                    connection.machine.answer is None or connection.machine.state is State.BROKEN):
+            if connection is not None and connection.machine.state not in (State.READY, State.ANSWERED):
                 self._drop(connection)
                 connection = None
+            if connection is not None:
+                connection.attempt = None
             done(ending)
             if connection is not None:
                 await self._settle(connection)
 
     async def _exchange(self, connection: Connection, attempt: Attempt,
-                        statement: Callable[[], bytes]) -> Ending:
+                        statement: Callable[[], bytes | None]) -> Ending:
         machine, stream, side = connection.machine, connection.stream, connection.side
         attempt.progress, connection.attempt, side.half_since = Progress.NOT_WRITTEN, attempt, None
+        if (text := statement()) is None:
+            return Ending(Progress.NOT_WRITTEN, withheld=True, why="withdrawn before it was written")
         try:
-            data = machine.ask(statement())
+            data = machine.ask(text)
             side.written += len(data)
             connection.unwritten = len(data)
             if self._guard.watches_servers:
@@ -263,6 +272,7 @@
                 self._drop(connection)
 
     def _drop(self, connection: Connection) -> None:
+        connection.attempt = None
         self._hold(-1)
         self._watch.disarm(connection)
         connection.stream.close()
