--- a/frostfall/net/clients.py
+++ b/frostfall/net/clients.py
@@ -74,6 +74,7 @@
         self._advancing = False
         self._gone = False  # whether the client has left, or is done with
         self._last = False  # whether the connection is to end once what is to be said is said
+        self._last_at = 0.0
         self.used = self.opened  # when it last brought something or was answered
         self._came = owner.watch.now  # the same as `opened`, attended
         self._asked = False  # whether a whole query has come
@@ -87,6 +88,9 @@
                 if await self._read():
                     while self._out:
                         await self._flushed.wait()
+                    while await self._on_its_way():
+                        self._stream.discard()
+                    self._stream.discard()
         finally:
             self._gone = True
             self._front.left(self)
@@ -206,7 +210,7 @@
         if last and not self._last:
             # Danger: a query that was read is taken, and lost if the connection ends; one that was not read
             # is sent once more by its client. So reading ends first; what has come by now comes through.
-            self._last = True
+            self._last, self._last_at = True, monotonic()
             self._owner.ends(self)
             self._stream.stop_reading()
 
@@ -287,12 +291,16 @@
                 continue
             try:
                 data = await self._stream.receive()
-            except ENDED:
+            except anyio.EndOfStream:
                 if not self._last:
                     return False
-                while self._machine.busy:
+                if self._machine.busy or self._out:
                     await self._caught_up()
-                return True
+                elif not await self._on_its_way():
+                    return True
+                continue
+            except ENDED:
+                return False
             self.used = monotonic()
             self.side.given += len(data)
             self._machine.feed(data)
@@ -305,6 +313,15 @@
                 self.end()
         return True
 
+    async def _on_its_way(self) -> bool:
+        """Whether some of what was said has yet to reach the client, after a pause in which it may."""
+        # Danger: a close with bytes unread, or behind which more come, is a reset, and what the kernel holds
+        # still is lost with it. So until that is delivered, what comes is read, and answered.
+        if self._gone or monotonic() > self._last_at + self._owner.longest or not self._stream.unsent:
+            return False
+        await anyio.sleep(PAUSE)
+        return True
+
     async def _caught_up(self) -> None:
         if self._out:
             await self._flushed.wait()
@@ -414,6 +431,11 @@
                 async with anyio.create_task_group() as group:
                     with anyio.CancelScope() as self._accepting:
                         await self._accept(listener, group)
+                    # Danger: what the kernel has accepted by now is taken, and closed with the listener lost.
+                    with suppress(OSError):
+                        for _ in range(BACKLOG):
+                            raw, address = listener.accept()
+                            self._take(Stream(raw), group, not self._make_room(), str(address[0]))
                     listener.close()
                 self._group.cancel_scope.cancel()
         finally:
--- a/frostfall/net/streams.py
+++ b/frostfall/net/streams.py
@@ -17,6 +17,7 @@
 from frostfall.protocol.pg import READ_MOST
 
 CONNECT_TIMEOUT = 1.0  # seconds: a service that is cut off never accepts; appliances have settings
+DISCARD_MOST = 8  # reads: who sends more than that unasked is not waited for
 _INT = struct.Struct("i")
 _LINGER_NONE = struct.pack("ii", 1, 0)
 ENDED = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError)
@@ -125,6 +126,13 @@
             await self.writable()
             sent += self.write(memoryview(data)[sent:])
 
+    def discard(self) -> None:
+        """Read away what has come by now, up to a bound: bytes unread make a close a reset."""
+        with suppress(OSError):
+            for _ in range(DISCARD_MOST):
+                if len(self._raw.recv(READ_MOST)) < READ_MOST:
+                    return
+
     def stop_reading(self) -> None:
         """Let reading end after what has come by now."""
         with suppress(OSError):
