--- a/frostfall/program.py
+++ b/frostfall/program.py
@@ -14,6 +14,7 @@
     """Run the agent until it is told to stop; why it cannot listen, if so."""
     fault: str | None = None
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         async with anyio.create_task_group() as group:
 
             async def wait() -> None:
@@ -44,7 +45,9 @@
 
 def main() -> int:
     """Read the configuration and serve; what stands in the way is one plain line."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload
+    # Danger: a SIGHUP between the reading and the receiver would be lost, and with it the move that it tells
+    # of; from here on it waits for the receiver.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     try:
         told = config.load(os.environ)
     except config.ConfigError as error:
