--- a/frostfall/net/agent.py
+++ b/frostfall/net/agent.py
@@ -315,6 +315,7 @@
                     self._addresses[server.id] = address(entry.host_port, entry.instance_id)
                 except ConfigError as error:  # what is sent there then never goes out
                     _log.warning("unusable address", why=str(error))
+        self._appliances.keep_only(set(self._addresses.values()))
         if self._recovery:
             self._recovery.listed(listing, kind is api.ListKind.REMEMBERED)
         self.post(event)
--- a/frostfall/net/appliances.py
+++ b/frostfall/net/appliances.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from typing import Any
 
 import anyio
@@ -22,7 +22,7 @@
 USER, DATABASE = "web", "orders"  # appliances welcome any user
 IDLE_PART = 0.75  # of the settings' time: the appliance closes at that time at the latest, often earlier
 PAUSE = 0.005  # seconds between looks for a free socket; answers take some tens of these
-REST = 2_000  # microseconds after an answer in which a second copy or noise right behind it would come
+REST = 20_000  # microseconds after an answer in which a second one, some milliseconds late, would come
 SWEEP = 1.0  # seconds: how often idle connections are looked through; well below any idle time
 
 _log = log.get("appliances")
@@ -281,6 +281,12 @@
         self._count += more
         self._sockets.used += more
 
+    def keep_only(self, addresses: Container[Address]) -> None:
+        """Close what waits for a request to any other address: who listens there next is somebody else."""
+        for address in [each for each in self._idle if each not in addresses]:
+            for connection in self._idle.pop(address):
+                self._drop(connection)
+
     def evict(self) -> bool:
         """Close the connection that has been idle for longest; False where none is."""
         oldest = min((each[0] for each in self._idle.values() if each),
--- a/frostfall/net/clients.py
+++ b/frostfall/net/clients.py
@@ -27,7 +27,7 @@
 PAUSE = 0.01  # seconds: how long accepting rests after an error, or with a crowd that waits to be refused
 ACCEPT_MOST = 16  # connections accepted in one turn, so that a flood of them leaves the others theirs
 OUT_MOST = 64 * 1024  # bytes that may wait to be written before a connection's next query is looked at
-CROWD_MOST = 8  # connections beyond the bound that are open at once, only to be refused
+CROWD_MOST = 8  # connections beyond the bound that are open at once, to be refused or being closed
 FRESH = 0.05  # seconds: a usual client writes as soon as it has connected; until then it is not silent
 QUIET = 2.0  # seconds without an open request after which a connection may be closed, by the protocol
 LOOK = 0.25  # seconds between looks at a client that something is owed to or by
@@ -317,7 +317,10 @@
         """Whether some of what was said has yet to reach the client, after a pause in which it may."""
         # Danger: a close with bytes unread, or behind which more come, is a reset, and what the kernel holds
         # still is lost with it. So until that is delivered, what comes is read, and answered.
-        if self._gone or monotonic() > self._last_at + self._owner.longest or not self._stream.unsent:
+        # Danger: an acknowledgement may be 40 ms late, and a crowd that waits for theirs would take all
+        # descriptors. Where there is no room, what has been sent is left to the network.
+        waits = self._stream.queued if self._owner.cramped else self._stream.unsent
+        if self._gone or monotonic() > self._last_at + self._owner.longest or not waits:
             return False
         await anyio.sleep(PAUSE)
         return True
@@ -371,7 +374,6 @@
         # In the order of their coming, each without those that are about to end.
         self._silent: dict[Client, None] = {}
         self._idle: dict[Client, None] = {}
-        self._crowd: dict[Client, None] = {}
         self._draining = False
         self._group: TaskGroup | None = None
         self._accepting: anyio.CancelScope | None = None
@@ -397,6 +399,16 @@
         """Whether more is unread than there is memory for."""
         return self._held > self._memory
 
+    @property
+    def cramped(self) -> bool:
+        """Whether there is no room for one more."""
+        return self._beyond >= 0
+
+    @property
+    def _beyond(self) -> int:
+        """How many more there are than have room: a crowd to be refused, and what is being closed."""
+        return max(self._sockets.used - self._sockets.most, len(self._open) - self._most)
+
     def works(self, client: Client) -> None:
         """It has brought a query."""
         self._silent.pop(client, None)
@@ -409,7 +421,6 @@
             return False
         oldest.end()
         client.crowded, client.draining = False, self._draining
-        self._crowd.pop(client, None)
         return True
 
     def rests(self, client: Client) -> None:
@@ -419,7 +430,7 @@
 
     def ends(self, client: Client) -> None:
         """It is about to end."""
-        for order in (self._silent, self._idle, self._crowd):
+        for order in (self._silent, self._idle):
             order.pop(client, None)
 
     # ---- connections -----------------------------------------------------------------------------------
@@ -432,27 +443,31 @@
                     with anyio.CancelScope() as self._accepting:
                         await self._accept(listener, group)
                     # Danger: what the kernel has accepted by now is taken, and closed with the listener lost.
-                    with suppress(OSError):
-                        for _ in range(BACKLOG):
-                            raw, address = listener.accept()
-                            self._take(Stream(raw), group, not self._make_room(), str(address[0]))
+                    with anyio.move_on_after(self.longest):
+                        await self._accept(listener, group, last=True)
                     listener.close()
                 self._group.cancel_scope.cancel()
         finally:
             listener.close()
 
-    async def _accept(self, listener: socket.socket, group: TaskGroup) -> None:
+    async def _accept(self, listener: socket.socket, group: TaskGroup, last: bool = False) -> None:
+        """Take connections in; with `last` only those that wait already."""
         while True:
-            await anyio.wait_readable(listener)
-            while len(self._crowd) >= CROWD_MOST and not self._push_out():
-                await anyio.sleep(PAUSE)
+            await (checkpoint() if last else anyio.wait_readable(listener))
+            # Danger: one that is closed for room holds its descriptor until its task has had a turn.
+            while self._beyond >= CROWD_MOST:
+                await anyio.sleep(0 if self._push_out() else PAUSE)
             for _ in range(ACCEPT_MOST):
                 if wait := self._pace.take(monotonic(), self.guard.rules.arrivals):
                     await anyio.sleep(wait)
                     break
                 try:
                     raw, address = listener.accept()
-                except (BlockingIOError, ConnectionAbortedError):
+                except BlockingIOError:
+                    if last:
+                        return
+                    break
+                except ConnectionAbortedError:
                     break
                 except OSError as error:
                     self.malformed[f"cannot accept: {error.strerror}"] += 1
@@ -462,7 +477,7 @@
                 # is left waiting: where there is no room, its first query is refused unseen.
                 with suppress(OSError):
                     self._take(Stream(raw), group, not self._make_room(), str(address[0]))
-                if len(self._crowd) >= CROWD_MOST:
+                if self._beyond >= CROWD_MOST:
                     break
 
     def _take(self, stream: Stream, group: TaskGroup, crowded: bool, source: str) -> None:
@@ -473,8 +488,6 @@
         self._open.add(client)
         self._sockets.used += 1
         self._silent[client] = None
-        if crowded:
-            self._crowd[client] = None
         group.start_soon(self._serve, client)
 
     async def _serve(self, client: Client) -> None:
@@ -492,7 +505,7 @@
 
     def _make_room(self) -> bool:
         """Whether there is room for one more, after closing something if need be."""
-        if not self._sockets.full and len(self._open) < self._most:
+        if not self.cramped:
             return True
         if self._push_out():
             return True
--- a/frostfall/net/streams.py
+++ b/frostfall/net/streams.py
@@ -19,6 +19,7 @@
 CONNECT_TIMEOUT = 1.0  # seconds: a service that is cut off never accepts; appliances have settings
 DISCARD_MOST = 8  # reads: who sends more than that unasked is not waited for
 _INT = struct.Struct("i")
+_UNSENT, _NOT_SENT = termios.TIOCOUTQ, 0x894B  # SIOCOUTQ, SIOCOUTQNSD: tcp(7), linux/sockios.h
 _LINGER_NONE = struct.pack("ii", 1, 0)
 ENDED = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError)
 
@@ -61,8 +62,16 @@
     @property
     def unsent(self) -> int:
         """Bytes that the kernel holds and the peer's has not acknowledged; 0 where that is not told."""
+        return self._held(_UNSENT)
+
+    @property
+    def queued(self) -> int:
+        """Those of them that the kernel has not sent for the first time; 0 where that is not told."""
+        return self._held(_NOT_SENT)
+
+    def _held(self, request: int) -> int:
         try:
-            return _INT.unpack(fcntl.ioctl(self._raw, termios.TIOCOUTQ, bytes(_INT.size)))[0]  # type: ignore
+            return _INT.unpack(fcntl.ioctl(self._raw, request, bytes(_INT.size)))[0]  # type: ignore
         except OSError:
             return 0
 
