--- a/frostfall/cli.py
+++ b/frostfall/cli.py
@@ -172,6 +172,23 @@
     sys.exit(0 if found.clean else 1)
 
 
+@bench.command("variant")
+@click.argument("overrides", type=click.Path(dir_okay=False, path_type=Path))
+@click.argument("site", type=click.Path(dir_okay=False, path_type=Path))
+@click.option("--out", type=click.Path(file_okay=False, path_type=Path), default=Path("deploy/sites"),
+              show_default=True, help="Where the variant's folder goes.")
+def variant(overrides: Path, site: Path, out: Path) -> None:
+    """Write a variant of a deployment's site file by OVERRIDES, an annotated TOML file, for the benches."""
+    try:
+        from frostfall.bench import variants
+    except ImportError as error:
+        raise click.ClickException(f"{error}; install requirements-bench.txt") from None
+    try:
+        click.echo(variants.write(overrides, site, out))
+    except variants.VariantError as error:
+        raise click.ClickException(str(error)) from None
+
+
 @main.group()
 def group() -> None:
     """See and steer a group of agents by its operator file's section `group`."""
