--- a/frostfall/log.py
+++ b/frostfall/log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+from contextlib import AbstractContextManager
 from typing import Any
 
 import structlog
@@ -10,8 +11,8 @@
 LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
 
 
-def configure(level: str, name: str) -> None:
-    """Log from this level on; every line names the agent."""
+def configure(level: str) -> None:
+    """Log from this level on, for all agents of this process."""
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
@@ -23,7 +24,11 @@
         wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
         logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
         cache_logger_on_first_use=True)
-    structlog.contextvars.bind_contextvars(agent=name)
+
+
+def named(name: str) -> AbstractContextManager[None]:
+    """Let every line name this agent, from here and from the tasks that start here."""
+    return structlog.contextvars.bound_contextvars(agent=name)
 
 
 def get(part: str) -> Any:
--- a/frostfall/net/agent.py
+++ b/frostfall/net/agent.py
@@ -354,10 +354,15 @@
             self._clients.look_at_all()
             moved.append("slow_peers")
         self._config = replace(old, discovery=told.discovery, platform=told.platform, options=told.options)
-        _log.info("reloaded", moved=moved, needs_restart=stays)
+        with log.named(old.name):
+            _log.info("reloaded", moved=moved, needs_restart=stays)
 
     async def run(self, ready: Callable[[], None] | None = None) -> None:
         """Serve until stopped; `ready` is called once clients can connect. OSError where they cannot."""
+        with log.named(self._config.name):  # another agent of this process has another name
+            await self._run(ready)
+
+    async def _run(self, ready: Callable[[], None] | None) -> None:
         listener = listen(self._config.listen)
         async with anyio.create_task_group() as group:
             self._group = group
--- a/frostfall/program.py
+++ b/frostfall/program.py
@@ -53,8 +53,10 @@
     except config.ConfigError as error:
         sys.stderr.write(f"frostfall: {error}\n")
         return 2
-    log.configure(told.log_level, told.name)
-    if fault := anyio.run(serve, Agent(told)):
+    log.configure(told.log_level)
+    with log.named(told.name):
+        fault = anyio.run(serve, Agent(told))
+    if fault:
         sys.stderr.write(f"frostfall: listen: {told.listen}: {fault}\n")
         return 1
     return 0
--- /dev/null
+++ b/tests/test_crossing_requests.py
@@ -0,0 +1,221 @@
+"""Where a client's leaving crosses what becomes of its request, and two agents in one process."""
+
+from __future__ import annotations
+
+import importlib
+import pkgutil
+from contextlib import suppress
+from typing import Any
+
+import anyio
+import anyio.lowlevel
+import pytest
+import structlog
+from anyio.abc import ByteStream
+
+import frostfall
+from frostfall.net.agent import Agent
+from frostfall.protocol import pg
+from tests.standins import (
+    CLOSED,
+    EXAMPLE,
+    LONG,
+    Client,
+    Reader,
+    configured,
+    instance,
+    listening,
+    read,
+    row,
+    write,
+)
+from tests.test_agent import code, serving
+from tests.test_crossing_pool import WELCOME, Desk, till, turns
+
+pytestmark = pytest.mark.anyio
+ERROR = pg.error_response("ERROR", "XX000", "no") + pg.READY
+TURNED_AWAY = pg.error_response("ERROR", "53300", "no") + pg.READY
+
+
+class Crowd(Desk):
+    """Desks under several addresses, whose queries come to one list."""
+
+    async def __call__(self, stream: ByteStream) -> None:
+        number = len(self.streams)
+        self.streams.append(stream)
+        reader = Reader(stream)
+        await reader.startup()
+        await stream.send(WELCOME)
+        while (message := await reader.message())[0] == b"Q":
+            self.queries.append((number, message[1][:-1]))
+            self.more.set()
+
+
+async def turned_away(client: Client, text: bytes) -> str:
+    """The code of what ends the connection."""
+    await client.write(text)
+    with anyio.fail_after(LONG):
+        return code(await client.reader.message())
+
+
+@pytest.mark.parametrize("count", range(8))
+@pytest.mark.parametrize("answer", [row(b"x") + pg.READY, ERROR, TURNED_AWAY])
+@pytest.mark.parametrize("first", ["client", "server"])
+async def test_no_attempt_begins_for_a_client_that_has_gone(count: int, answer: bytes, first: str) -> None:
+    desk = Crowd()
+    async with listening(desk) as one, listening(desk) as two, serving(
+            configured(instance("s-1", one), instance("s-2", two))) as agent:
+        client = await Client.connect(agent._config.listen)
+        await client.write(read("g1", 5000))
+        number, _ = await desk.asked(1)
+
+        async def speak() -> None:
+            with suppress(CLOSED):  # given up already
+                await desk.streams[number].send(answer)
+
+        if first == "server":
+            await speak()
+            await turns(count)
+            seen = len(desk.queries)  # what the module had asked again by then
+            await client.stream.aclose()
+        else:
+            seen = len(desk.queries)
+            await client.stream.aclose()
+            await turns(count)
+            await speak()
+        # The leaving is read in some turn of the loop; once it is, nothing further goes out.
+        await till(lambda: not len(agent._clients))
+        gone = len(desk.queries)
+        await till(lambda: not agent._requests and not agent.brain.requests)
+        assert len(desk.queries) == gone <= seen + 1
+        assert agent.brain.open == 0 and not agent.brain.held
+        await till(lambda: agent._appliances._sockets.used == len(agent._appliances))
+
+
+async def test_the_same_id_from_another_client_never_gets_the_first_ones_answer() -> None:
+    desk = Desk()
+    async with listening(desk) as address, serving(configured(instance("s-1", address))) as agent:
+        first, second = [await Client.connect(agent._config.listen) for _ in range(2)]
+        await first.write(write("same", 5000))
+        await desk.asked(1)
+        # Every request has an id of its own, so that this one cannot be told from the first.
+        assert await turned_away(second, read("same", 5000)) == "08P01"
+        await first.stream.aclose()
+        await till(lambda: not agent._requests)
+        third = await Client.connect(agent._config.listen)
+        await third.write(read("same", 5000))
+        number, _ = await desk.asked(2)
+        with pytest.raises(CLOSED):  # the first one's attempt was given up with its client
+            while True:
+                await desk.streams[0].send(row(b"first") + pg.READY)
+                await anyio.sleep(0.001)
+        await desk.streams[number].send(row(b"third") + pg.READY)
+        kind, payload = await third.answer()
+        assert kind == b"D" and payload.endswith(b"third")
+
+
+async def test_an_answer_told_in_the_turn_in_which_its_client_goes_leaves_the_connection_to_others() -> None:
+    desk = Desk()
+    async with listening(desk) as address, serving(configured(instance("s-1", address))) as agent:
+        client = await Client.connect(agent._config.listen)
+        await client.write(read("o1", 5000))
+        await desk.asked(1)
+        # Both are there to be read before the agent has its next turn.
+        await desk.streams[0].send(row(b"o1") + pg.READY)
+        await client.stream.aclose()
+        await till(lambda: not agent._requests and not len(agent._clients))
+        await till(lambda: agent._appliances._sockets.used == len(agent._appliances))
+        other = await Client.connect(agent._config.listen)
+        await other.write(read("o2", 5000))
+        number, text = await desk.asked(2)
+        assert b"id=o2" in text
+        await desk.streams[number].send(row(b"o2") + pg.READY)
+        assert (await other.answer())[1].endswith(b"o2")
+
+
+# ---- two agents in one process ---------------------------------------------------------------------------
+
+
+def settings(agent: str, classes: dict[str, Any]) -> dict[str, Any]:
+    """The example's settings with other classes; each by its name, the first class' fields changed."""
+    told = {**EXAMPLE["settings"], "nInstances": 1}
+    told["grades"] = [{**told["grades"][0], "name": name, **fields} for name, fields in classes.items()]
+    return {"name": agent, "settings": told}
+
+
+def state_of_modules() -> dict[str, str]:
+    """What all modules and classes hold that could be shared: containers, by where they stand."""
+    found = {}
+    for info in pkgutil.walk_packages(frostfall.__path__, "frostfall."):
+        if ".bench" in info.name or info.name.endswith("__main__") or ".model" in info.name:
+            continue  # not loaded by an agent
+        module = importlib.import_module(info.name)
+        places = [(info.name, vars(module))] + [
+            (f"{info.name}.{name}", dict(vars(each))) for name, each in vars(module).items()
+            if isinstance(each, type) and each.__module__ == info.name]
+        for where, names in places:
+            for name, each in names.items():
+                if isinstance(each, dict | list | set) and not name.startswith("__"):
+                    found[f"{where}.{name}"] = repr(each)
+                defaults = (*(getattr(each, "__defaults__", None) or ()),
+                            *(getattr(each, "__kwdefaults__", None) or {}).values())
+                for number, default in enumerate(defaults):
+                    if isinstance(default, dict | list | set):
+                        found[f"{where}.{name}({number})"] = repr(default)
+    return found
+
+
+async def test_nothing_of_one_agents_settings_shows_in_another_of_the_same_process() -> None:
+    before = state_of_modules()
+    desk_a, desk_b = Desk(), Desk()
+    async with listening(desk_a) as one, listening(desk_b) as two:
+        short, long = {"aimUs": 200_000, "deadlineUs": 400_000}, {"deadlineUs": 9_000_000}
+        a = configured(instance("s-1", one), **settings("alpha", {"browse": short}))
+        b = configured(instance("s-1", two), **settings("beta", {"stock": long}))
+        async with serving(a) as alpha, serving(b) as beta:
+            assert set(alpha.brain.kinds) == {"browse"} and set(beta.brain.kinds) == {"stock"}
+            for agent, own, other, desk in ((alpha, "browse", "stock", desk_a),
+                                            (beta, "stock", "browse", desk_b)):
+                client = await Client.connect(agent._config.listen)
+                await client.write(read(f"i-{own}", 300, own))
+                await desk.asked(1)
+                await desk.streams[0].send(row(own.encode()) + pg.READY)
+                assert (await client.answer())[1].endswith(own.encode())
+                # A class of the other's is none here.
+                assert await turned_away(client, read(f"j-{own}", 300, other)) == "08P01"
+            # The same id of a server is another's address there, and what is known of it stays here.
+            assert alpha._addresses.keys() == beta._addresses.keys() and alpha._addresses != beta._addresses
+            alpha.brain.servers[next(iter(alpha.brain.servers))].shunned_until = 1 << 60
+            assert all(each.shunned_until < 1 << 60 for each in beta.brain.servers.values())
+            assert alpha._longest != beta._longest
+            assert alpha._clients.malformed is not beta._clients.malformed
+    assert state_of_modules() == before
+
+
+async def test_each_agents_lines_name_that_agent_alone() -> None:
+    lines: list[dict[str, Any]] = []
+
+    def keep(_: Any, __: str, line: dict[str, Any]) -> dict[str, Any]:
+        lines.append(dict(line))
+        raise structlog.DropEvent
+
+    old = structlog.get_config()
+    structlog.configure(processors=[structlog.contextvars.merge_contextvars, keep],
+                        cache_logger_on_first_use=False)
+    try:
+        async with serving(configured(name="alpha")) as alpha, serving(configured(name="beta")) as beta:
+            for each in (alpha, beta):
+                each.reload(each._config)
+                await refused(each)
+    finally:
+        structlog.configure(**old)
+    listens = {line["address"]: line.get("agent") for line in lines if line["event"] == "listening"}
+    assert listens == {str(alpha._config.listen): "alpha", str(beta._config.listen): "beta"}
+    assert [line.get("agent") for line in lines if line["event"] == "reloaded"] == ["alpha", "beta"]
+    assert all(line.get("agent") in ("alpha", "beta") for line in lines)
+
+
+async def refused(agent: Agent) -> None:
+    client = await Client.connect(agent._config.listen)
+    with anyio.fail_after(LONG):
+        assert code(await client.ask(read("n1", 200))) in ("53300", "XX000")
