--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -16,6 +16,7 @@
 from frostfall.state import Attempt, Ballot, Exchange, Known, Request, Test
 
 TICK, HOLD = 100_000, 50_000  # in us: one exchange, over a message's way; how often a held request is tried
+TICKS, HOLDS = "*tick", "*hold"  # tokens of our own timers: no request may be named so
 TRIAL_TICK, LONG = 50_000, 6  # one exchange on trial where a round has so many: stages wait for rounds
 ALPHA, BETA, MARGIN = 0.05, 0.05, 0.05  # the design's: chances of a wrong 'on', 'back' (shared out); p1 - p0
 LATE_AIMS, LATE_TIMES, LATE_MARGIN = 1.5, 2.5, 0.2  # late is over so many aims, or usual times; its p1 - p0
@@ -84,7 +85,7 @@
     def start(self, now: int) -> list[api.Action]:
         """The first actions of a new instance."""
         self.now, self.actions = now, []
-        self.actions.append(api.SetTimer(TICK - now % TICK, "tick"))  # by the clock: agents exchange in step
+        self.actions.append(api.SetTimer(TICK - now % TICK, TICKS))  # by the clock: agents exchange in step
         # Danger: hundreds of agents that start together and ask at once are turned away.
         self.ask_at = now + self.random.randrange(min(self.agents * APART, self.rules.ask_within) // 5 + 1)
         return self.actions
@@ -96,14 +97,14 @@
         return self.actions
 
     def _timer(self, event: api.TimerFired) -> None:
-        if event.token == "tick":
+        if event.token == TICKS:
             self._tick()
-        elif event.token == "hold":
+        elif event.token == HOLDS:
             self.holding = False
             for request in list(self.held.values()):
                 self._place(request)
-        elif late := self.requests.get(event.token):
-            self._give_up(late)
+        elif (late := self.requests.get(event.token)) and self.now >= late.event.deadline - ANSWER_EARLY:
+            self._give_up(late)  # else the timer was an earlier request's of this name
 
     def _marked(self, event: api.StreamStarted | api.ClientLeft) -> None:
         if request := self.requests.get(event.request):
@@ -340,7 +341,7 @@
             self.held[request.event.request] = request
             if not self.holding:
                 self.holding = True
-                self.actions.append(api.SetTimer(HOLD, "hold"))
+                self.actions.append(api.SetTimer(HOLD, HOLDS))
         else:
             self._give_up(request)
         if self.probing and self.probe_tokens >= 1 and some:
@@ -593,7 +594,7 @@
             test.heard = told.numbers
 
     def _tick(self) -> None:
-        self.actions.append(api.SetTimer(self.tick - self.now % self.tick, "tick"))
+        self.actions.append(api.SetTimer(self.tick - self.now % self.tick, TICKS))
         if self.set.must_subscribe and self.now >= self.ask_at:
             self.ask_at = self.now + max(self.rules.ask_within, self.agents * APART)
             self.actions.append(api.Subscribe())
