--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -395,7 +395,9 @@
     def _timeout(self, request: Request) -> int:
         kind, left = request.kind, request.event.deadline - self.now
         cut = int(max(6 * self.mean_time.get(kind.name, kind.deadline), 0.7 * kind.aim))
-        return left if kind.effect is Effect.UNSAFE or self.retry_tokens < 1 else min(left, cut)
+        # Danger: cut short with its window over, a keyed request may go nowhere else, and fails for nothing.
+        once = kind.effect is Effect.UNSAFE or (kind.effect is Effect.KEYED and cut >= kind.key_ttl)
+        return left if once or self.retry_tokens < 1 else min(left, cut)
 
     def _ended(self, event: api.AttemptEnded) -> None:
         request = self.requests.get(event.request)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -413,3 +413,17 @@
     assert brain._room(request)
     brain.others = 1.0
     assert not brain._room(request)
+
+
+@pytest.mark.parametrize(("window", "cut"), [(2 * S, True), (700_000, False), (S // 10, False)])
+def test_a_keyed_attempt_is_cut_short_only_where_its_repeat_may_still_go(window: int, cut: bool) -> None:
+    keyed = replace(KEYED, key_ttl=window)
+    agent = Agent(replace(SETTINGS, classes=(SAFE, keyed, UNSAFE)), server(1), server(2))
+    for _ in range(5):
+        agent.end(sends(agent.ask(keyed))[0])
+    send, = sends(agent.ask(keyed))
+    # Danger: given up with its window over it may go nowhere else, though its answer may still come in time.
+    assert (send.timeout < keyed.deadline) is cut
+    agent.advance(send.timeout)
+    more = agent.end(send, api.Outcome.TIMED_OUT, elapsed=send.timeout)
+    assert bool(sends(more)) is cut
