--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -495,7 +495,9 @@
                 old, was = self.test, self._forget(news.build)
                 base = old.base if old and old.key[0] == news.build else [
                     sum(row[k] for (b, _), row in self.rows.items() if b == was) for k in (0, 1)]
-                self.test = Test(key, self.now - news.age, base, [*[0.0] * 4, *base, *[0.0] * 7])
+                # Danger: from zero at each stage, lateness that lasts would tell after the release only.
+                late = min(old.mix[1], 0.0) if old and old.key[0] == news.build else 0.0
+                self.test = Test(key, self.now - news.age, base, [0.0, late, 0.0, 0.0, *base, *[0.0] * 7])
                 self.shared.on_trial(key)
                 self._weigh()
         if news.reply in (VoteReply.OVERLOADED, VoteReply.ERROR, VoteReply.UNKNOWN) and self.ballot:
@@ -644,22 +646,24 @@
         bands, p0, margin = self._bands(test), self._p0_late(test), LATE_MARGIN
         if p0 is not None and test.key[1] == 0 and self._short():
             self.calm = p0
-        # Danger: a build that slows all servers alike has nothing to be held against once it is everywhere.
-        # Then calmer times serve as p0; only lateness that outlasts most others tells.
-        if p0 is None and self.calm and test.key[1] < 0:
+        # Danger: a build that slows all servers alike has nothing to be held against once it is widespread.
+        # Then calmer times serve as p0, for all servers; only lateness that outlasts most others tells.
+        if p0 is None and self.calm and test.key[1]:
             p0, margin = min(self.calm, 0.9 - LAST_MARGIN), LAST_MARGIN
             most = self.turns * self.tick / LAST_TIME
         if p0 is not None:
             good, bad = (evidence(late, p0, margin) for late in (False, True))
-            gain = (test.timed[2] - test.timed[3]) * good + test.timed[3] * bad
+            timed, tardy = test.timed[2:] if margin == LATE_MARGIN else (
+                test.timed[0] + test.timed[2], test.timed[1] + test.timed[3])
+            gain = (timed - tardy) * good + tardy * bad
             test.score[1] += max(gain, bands[1][1] * most)
         test.lean = max(-1.0, min(score / upper if score > 0 else -score / lower
                                   for score, (upper, lower) in zip(test.score, bands)))
         self._decide(test, rollout)
         # What was earned beyond the band must not hide a build that sours later.
         test.score = [min(score, band[0]) for score, band in zip(test.score, bands)]
-        if test.key[1] < 0:  # Danger: after the release, calm times would put off the day when all are late.
-            test.score[1] = min(test.score[1], 0.0)
+        if test.key[1] < 0:  # Danger: after the release, good times would put off the day when it turns bad.
+            test.score = [min(score, 0.0) for score in test.score]
         kept = min(1.0, MEMORY / self._pool(test) / max(test.base[0], 1e-9))
         base = (number * kept + fresh for number, fresh in zip(test.base, test.fresh))
         first, *more = (score + fresh for score, fresh in zip(test.score, test.innovation))
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -385,6 +385,44 @@
     assert lateness(13) == -1
 
 
+def test_lateness_of_all_servers_that_outlasts_stages_on_trial_is_held_against_calmer_times() -> None:
+    def lateness(seconds: float, stages: int) -> float:
+        agent = Agent(SETTINGS, server(1), server(9, build=2))
+        agent.news(2, cap=0.1)
+        agent.brain.calm = 0.05  # as it was before the trial had its outcomes
+        steps = round(seconds * S / (agent.brain.turns * TICK))
+        for step in range(steps):
+            if step % (steps // stages + 1) == 0:
+                agent.news(2, stage=1 + step // (steps // stages + 1), cap=0.5)
+            test = agent.brain.test
+            assert test is not None
+            test.mix[6:10] = [40.0, 20.0, 4.0, 2.0]  # an overload, in which who is late tells of its load
+            agent.pass_time(agent.brain.turns * TICK)
+        test = agent.brain.test
+        assert test is not None
+        return test.lean
+
+    assert lateness(2, 1) > -0.5  # a short slowdown does not even keep a stage back
+    assert -1 < lateness(4, 1) < -0.5  # a longer one keeps it back, and may pass
+    # Danger: from zero at each stage, three stages of three seconds each would find nothing.
+    assert lateness(9, 1) == lateness(9, 3) == -1
+
+
+def test_what_a_build_did_well_before_its_release_does_not_put_off_the_day_it_sours() -> None:
+    agent = Agent(SETTINGS, server(1), server(9, build=2))
+    agent.news(2, cap=1.0)
+    agent.news(2, phase=api.Phase.RELEASED, cap=1.0)
+    test = agent.brain.test
+    assert test is not None
+    for _ in range(40):
+        test.mix[0] += 1.0  # failures are rare for long
+        agent.pass_time(agent.brain.turns * TICK)
+    assert test.score[0] == 0  # earned up to the upper threshold, it would take as much more to fall
+    test.mix[0] -= 1.0
+    agent.pass_time(agent.brain.turns * TICK)
+    assert test.score[0] == pytest.approx(-1.0, abs=0.1)
+
+
 def test_a_crowded_server_is_excused_for_being_slow() -> None:
     agent = Agent(SETTINGS, server(1), server(9, build=2))
     agent.news(2, cap=1.0)
