--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -38,6 +38,7 @@
 CARRY_MEMORY = 20_000_000  # what a server carried at most fades so slowly, as a fleet warms up
 RETRY_SHARE, RETRY_DEPTH = 0.15, 6.0  # further attempts per request taken, and how many may be saved up
 ANSWER_EARLY, OVERDUE = 10_000, 3.0  # before the deadline; usual times after which an open attempt tells
+WINDOW_PART, WINDOW_LEAST = 0.8, 3.0  # of a key's window: cut then at the latest; usual times it has to hold
 SHUN_FIRST, SHUN_MOST = 300_000, 4_000_000  # how long an unreachable server is left alone, doubling
 PROBE_SHARE, APART = 0.5, 200_000  # probes a request taken; of all agents' calls to discovery, served in turn
 SHED_UP, SHED_DOWN, SHED_MOST = 0.03, 0.01, 0.6  # part shed: up by each late answer, down by each timely one
@@ -394,10 +395,14 @@
 
     def _timeout(self, request: Request) -> int:
         kind, left = request.kind, request.event.deadline - self.now
-        cut = int(max(6 * self.mean_time.get(kind.name, kind.deadline), 0.7 * kind.aim))
-        # Danger: cut short with its window over, a keyed request may go nowhere else, and fails for nothing.
-        once = kind.effect is Effect.UNSAFE or (kind.effect is Effect.KEYED and cut >= kind.key_ttl)
-        return left if once or self.retry_tokens < 1 else min(left, cut)
+        mean = self.mean_time.get(kind.name, kind.deadline)
+        cut = int(max(6 * mean, 0.7 * kind.aim))
+        if kind.effect is Effect.KEYED:
+            # Danger: with its window over, a keyed request may go nowhere else. So it is cut while a repeat
+            # may still go, or not at all where usual answers take that long.
+            soon = int(WINDOW_PART * kind.key_ttl)
+            cut = min(cut, soon) if soon >= WINDOW_LEAST * mean else left
+        return left if kind.effect is Effect.UNSAFE or self.retry_tokens < 1 else min(left, cut)
 
     def _ended(self, event: api.AttemptEnded) -> None:
         request = self.requests.get(event.request)
