--- a/frostfall/brain.py
+++ b/frostfall/brain.py
@@ -12,7 +12,7 @@
 from frostfall.interface import Availability, Effect, Outcome, Phase, Verdict, VoteReply
 from frostfall.knowledge.servers import Servers
 from frostfall.linalg import divergence, evidence, mixing_rate, partner, round_length, threshold
-from frostfall.routing.apart import Apart
+from frostfall.routing.ejection import Ejections
 from frostfall.state import Attempt, Ballot, Exchange, Known, Request, Test
 
 TICK, HOLD = 100_000, 50_000  # in us: one exchange, over a message's way; how often a held request is tried
@@ -76,7 +76,7 @@
         self.test: Test | None = None
         self.ballot: Ballot | None = None
         self.shared = Servers(self.agents, self.turns)  # what all agents saw of each server
-        self.apart = Apart()  # servers that turned slow in the middle of an answer
+        self.ejections = Ejections()  # servers that turned slow in the middle of an answer
         self.handlers: dict[type, Any] = {
             api.RequestArrived: self._arrive, api.AttemptEnded: self._ended, api.TimerFired: self._timer,
             api.PeerMessage: self._hear, api.ServersListed: self._listed, api.RolloutNews: self._news,
@@ -114,7 +114,7 @@
                 self._close(request)
 
     def _slowed(self, event: api.ServerSlowed) -> None:
-        self.apart.slowed(self.now, event.server, len(self.fleet))
+        self.ejections.slowed(self.now, event.server, len(self.fleet))
 
     def _listed(self, event: api.ServersListed) -> None:
         if event.kind is api.ListKind.FAILED:
@@ -131,13 +131,13 @@
             old = self.servers.get(info.id)
             if info.availability is Availability.REMOVED:
                 self.servers.pop(info.id, None)
-                self.apart.left(info.id)
+                self.ejections.forget(info.id)
             elif old and (old.info.started_at, old.info.build) == (info.started_at, info.build):
                 old.info = info
             else:
                 # Danger: agents together push a cold server over. By a chance start, parts of a send add up.
                 rank, credit = self.random.random(), self.random.random()
-                self.apart.left(info.id)
+                self.ejections.forget(info.id)
                 self.servers[info.id] = Known(info, rank, credit=credit, credit_at=self.now)
         up = (s for s in self.servers.values() if s.info.availability is Availability.UP)
         self.fleet = sorted(up, key=lambda s: s.rank)
@@ -312,9 +312,9 @@
         # a request now and then. So each keeps to as many as its traffic keeps connected, in random order.
         worth = int(self._served() * self.limits.connection_idle / 1e6 / NEAR_USES)
         room, now, may = self._room(request), self.now, self._may_send
-        fleet, whole = self.fleet, not self.apart
+        fleet, whole = self.fleet, not self.ejections
         if not whole:  # Danger: what drips looks idle and fails nothing for long
-            harmless, let = request.kind.effect is not Effect.UNSAFE, self.apart.admits
+            harmless, let = request.kind.effect is not Effect.UNSAFE, self.ejections.admits
             fleet = [s for s in fleet if let(now, s.info.id, len(s.out), harmless)] or fleet
         near = [s for s in fleet if (room or self.probing) and s.shunned_until <= now][:max(NEAR, worth)]
         some = near if len(near) <= SAMPLE else self.random.sample(near, SAMPLE)
@@ -412,8 +412,8 @@
         attempt.outcome = event.outcome
         attempt.server.out.pop((event.request, event.attempt), None)
         self.open -= 1
-        if self.apart and event.outcome is Outcome.SUCCESS:
-            self.apart.served(self.now, event.server)
+        if self.ejections and event.outcome is Outcome.SUCCESS:
+            self.ejections.served(self.now, event.server)
         self._learn(request, attempt, event)
         self._judge(request, attempt, event)
         if event.final or request.done:
@@ -642,7 +642,7 @@
         test.score, test.base, test.timed = test.mix[:3], test.mix[4:6], test.mix[6:10]
         test.count, test.carried = test.mix[3], test.mix[10]
         pool = self._pool(test)
-        alone = self.shared.apart(test.count * pool, test.mix[12] * pool, LEAST_POOLED) / pool
+        alone = self.shared.excused(test.count * pool, test.mix[12] * pool, LEAST_POOLED) / pool
         test.score[0] -= alone
         # Danger: held against a p0 of a moment ago, the onset of a shared slowdown speaks against the trial.
         fade = math.exp(-self.turns * self.tick / LATE_MEMORY)
--- a/frostfall/knowledge/servers.py
+++ b/frostfall/knowledge/servers.py
@@ -100,7 +100,7 @@
         past = -took / 1e6
         self.sums.step((math.exp(past / MEMORY), OLD_STAGE, math.exp(past / GONE_MEMORY)), self._trial.keys())
 
-    def apart(self, tried: float, failed: float, least: float) -> float:
+    def excused(self, tried: float, failed: float, least: float) -> float:
         """What machines that fail alone have added to the score, at or below zero, of all agents together.
 
         `tried` and `failed` count all outcomes on trial. Up to a quarter of the machines, the worst, fail
--- a/frostfall/limits/rules.py
+++ b/frostfall/limits/rules.py
@@ -9,7 +9,7 @@
 from frostfall.limits.budget import Allowance
 from frostfall.limits.meter import LeastRate
 from frostfall.limits.turns import Arrivals, Quantum
-from frostfall.routing.apart import Pauses
+from frostfall.routing.ejection import Pauses
 
 
 class ClientClass(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/frostfall/net/agent.py
+++ b/frostfall/net/agent.py
@@ -26,7 +26,7 @@
 from frostfall.net.peers import Peers
 from frostfall.net.platform import Platform
 from frostfall.net.streams import Sockets
-from frostfall.net.watch import Watch
+from frostfall.net.watchdog import Watchdog
 from frostfall.protocol import entries, statement
 from frostfall.protocol.ending import Ending, Final, Progress
 from frostfall.protocol.listing import Listing
@@ -78,14 +78,15 @@
         self._group: TaskGroup | None = None
         sockets = Sockets(config.limits.sockets - SPARE_SOCKETS)
         self._guard: Guard[Client] = Guard(config.options.slow_peers)
-        self._watch = Watch()
-        self.brain.apart.pauses = self._guard.rules.servers.apart
-        self._appliances = Appliances(self.clock, config.settings.limits, sockets, self._guard, self._watch)
+        self._watchdog = Watchdog()
+        self.brain.ejections.pauses = self._guard.rules.servers.apart
+        self._appliances = Appliances(self.clock, config.settings.limits, sockets, self._guard,
+                                      self._watchdog)
         self._longest = (max(kind.deadline for kind in config.settings.classes)
                          + config.settings.rules.answer_slack) / 1e6
         self._clients = Clients(self, sockets, sockets.most // CLIENTS_PART,
                                 config.limits.memory_mb * 1024 * 1024 // UNREAD_PART, self._longest,
-                                self._appliances.evict, self._guard, self._watch)
+                                self._appliances.evict, self._guard, self._watchdog)
         self._discovery = Discovery(config.discovery, config.known.generation,
                                     config.settings.rules.ask_within, self._listed, self._list_failed,
                                     unasked=not config.settings.must_subscribe)
@@ -181,7 +182,7 @@
                                      None, parsed.is_retry))
         return None
 
-    def left(self, client: Client) -> None:
+    def client_left(self, client: Client) -> None:
         """A client's connection has ended; where it waited for an answer, none is owed any more."""
         name, client.request = client.request, None
         if name is not None and (request := self._requests.get(name)):
@@ -350,7 +351,7 @@
             told = replace(told, options=msgspec.structs.replace(told.options, group=old.options.group))
         if told.options != old.options:
             self._guard.renew(told.options.slow_peers)
-            self.brain.apart.pauses = self._guard.rules.servers.apart
+            self.brain.ejections.pauses = self._guard.rules.servers.apart
             self._clients.look_at_all()
             moved.append("slow_peers")
         self._config = replace(old, discovery=told.discovery, platform=told.platform, options=told.options)
@@ -381,7 +382,7 @@
                     group.start_soon(driver.run)
             group.start_soon(self._timers.run, lambda token: self.post(api.TimerFired(token)))
             group.start_soon(self._appliances.sweep)
-            group.start_soon(self._watch.run, self._clients.turn)
+            group.start_soon(self._watchdog.run, self._clients.turn)
             group.start_soon(self._health)
             group.start_soon(self._stop)
             gc.collect()
@@ -424,5 +425,5 @@
                       descriptors=descriptors, clients=len(self._clients),
                       connections=len(self._appliances), requests=len(self._requests),
                       malformed=dict(self._clients.malformed), shed=self._guard.tally.totals(),
-                      waiting=self._guard.budget.waiting, slept_s=round(self._watch.attention.lost, 3))
+                      waiting=self._guard.budget.waiting, slept_s=round(self._watchdog.attention.lost, 3))
             self._clients.malformed.clear()
--- a/frostfall/net/appliances.py
+++ b/frostfall/net/appliances.py
@@ -15,7 +15,7 @@
 from frostfall.limits.shedding import Reason
 from frostfall.net.clock import Clock
 from frostfall.net.streams import ENDED, Sockets, Stream, connect
-from frostfall.net.watch import TURN, Watch, Watched
+from frostfall.net.watchdog import TURN, Watchdog, Watched
 from frostfall.protocol.ending import Ending, Progress
 from frostfall.protocol.pg_client import ClientSide, Refusal, State
 
@@ -99,10 +99,10 @@
     """The pool: by address, the connections that wait for a request."""
 
     def __init__(self, clock: Clock, limits: Limits, sockets: Sockets, guard: Guard[Any] | None = None,
-                 watch: Watch | None = None) -> None:
-        """Hold as many connections as there are sockets; `watch` has to be run by the owner."""
+                 watchdog: Watchdog | None = None) -> None:
+        """Hold as many connections as there are sockets; `watchdog` has to be run by the owner."""
         self._guard = guard or Guard[Any]()
-        self._watch = Watch() if watch is None else watch
+        self._watchdog = Watchdog() if watchdog is None else watchdog
         self._clock = clock
         self._connect_timeout = limits.connect_timeout / 1e6
         self._idle_most = int(limits.connection_idle * IDLE_PART)
@@ -148,7 +148,7 @@
                 return
             # Only a scope that ended the wait comes here: the time is over, or the attempt was given up.
             if connection is not None and not attempt.given_up and not attempt.stalled and (
-                    self._guard.server_unfinished(connection.side, self._watch.now)):
+                    self._guard.server_unfinished(connection.side, self._watchdog.now)):
                 attempt.stall(Reason.SERVER_SENDS_SLOWLY)
                 self._guard.tally.note(Reason.SERVER_SENDS_SLOWLY, str(address))
             ending = Ending(attempt.progress, cancelled=attempt.given_up, stalled=attempt.stalled is not None,
@@ -186,13 +186,13 @@
                 side.reading.rest()
                 side.sending.rest()
                 if not connection.armed:
-                    self._watch.arm(connection, TURN)
+                    self._watchdog.arm(connection, TURN)
             await self._write(connection, attempt, data)
             while machine.answer is None:
                 received = await stream.receive()
                 if attempt.progress is not Progress.ANSWERING:
                     attempt.progress = Progress.ANSWERING
-                    side.half_since, side.half_from = self._watch.now, side.given
+                    side.half_since, side.half_from = self._watchdog.now, side.given
                 side.given += len(received)
                 machine.feed(received)
         except ENDED as error:
@@ -274,7 +274,7 @@
     def _drop(self, connection: Connection) -> None:
         connection.attempt = None
         self._hold(-1)
-        self._watch.disarm(connection)
+        self._watchdog.disarm(connection)
         connection.stream.close()
 
     def _hold(self, more: int) -> None:
--- a/frostfall/net/clients.py
+++ b/frostfall/net/clients.py
@@ -19,7 +19,7 @@
 from frostfall.limits.shedding import Reason
 from frostfall.limits.turns import Pace, Turns
 from frostfall.net.streams import ENDED, Sockets, Stream, unconnected
-from frostfall.net.watch import Watch, Watched
+from frostfall.net.watchdog import Watchdog, Watched
 from frostfall.protocol import pg, pg_server
 from frostfall.protocol.pg_server import Closed, Query, Reply, ServerSide
 
@@ -43,7 +43,7 @@
     def take(self, client: Client, text: bytes) -> str | None:
         """Take a query, or say why it is malformed."""
 
-    def left(self, client: Client) -> None:
+    def client_left(self, client: Client) -> None:
         """The client has gone."""
 
 
@@ -76,10 +76,10 @@
         self._last = False  # whether the connection is to end once what is to be said is said
         self._last_at = 0.0
         self.used = self.opened  # when it last brought something or was answered
-        self._came = owner.watch.now  # the same as `opened`, attended
+        self._came = owner.watchdog.now  # the same as `opened`, attended
         self._asked = False  # whether a whole query has come
         self._served = False
-        owner.watch.arm(self, QUIET)
+        owner.watchdog.arm(self, QUIET)
 
     async def run(self) -> None:
         """Serve until either side ends it."""
@@ -93,7 +93,7 @@
                     self._stream.discard()
         finally:
             self._gone = True
-            self._front.left(self)
+            self._front.client_left(self)
             self._stream.close()
 
     def answer(self, data: bytes) -> None:
@@ -188,7 +188,7 @@
             return
         self.side.written += len(data)
         if data and self._owner.guard.watches_clients:
-            self._owner.watch.arm(self, LOOK)
+            self._owner.watchdog.arm(self, LOOK)
         if data and not self._out:
             try:
                 data = data[self._stream.write(data):]
@@ -197,8 +197,8 @@
                 return
         if data:
             if not self._out:
-                self._out_since, self._flushed = self._owner.watch.now, anyio.Event()
-                self._owner.watch.arm(self, LOOK)
+                self._out_since, self._flushed = self._owner.watchdog.now, anyio.Event()
+                self._owner.watchdog.arm(self, LOOK)
                 self._owner.later(self._flush)
             self._out += data
             if self._owner.guard.rules.waiting:
@@ -257,8 +257,8 @@
     def _note_half(self) -> None:
         half = self._machine.buffered and not (self._machine.busy or self._last or self._out)
         if half and self.side.half_since is None:
-            self.side.half_since = self._owner.watch.now
-            self._owner.watch.arm(self, LOOK if self._owner.guard.rules.clients.sending else QUIET)
+            self.side.half_since = self._owner.watchdog.now
+            self._owner.watchdog.arm(self, LOOK if self._owner.guard.rules.clients.sending else QUIET)
         elif not half and self.side.half_since is not None:
             self.side.half_since = None
             self.side.sending.rest()
@@ -355,13 +355,13 @@
 
     def __init__(self, front: Front, sockets: Sockets, most: int, memory: int, longest: float,
                  spare: Callable[[], bool], guard: Guard[Client] | None = None,
-                 watch: Watch | None = None) -> None:
+                 watchdog: Watchdog | None = None) -> None:
         """Hold so many connections at most and so many bytes unread; `spare` may close one of another use.
 
-        `watch` has to be run by the owner, with `turn` after each of its turns.
+        `watchdog` has to be run by the owner, with `turn` after each of its turns.
         """
         self.guard = guard or Guard[Client]()
-        self.watch = Watch() if watch is None else watch
+        self.watchdog = Watchdog() if watchdog is None else watchdog
         self.longest = longest
         self.malformed = Counter[str]()  # what could not be read, by its reason, since it was last told
         self._front = front
@@ -499,7 +499,7 @@
             self._open.discard(client)
             self.ends(client)
             self.hold(client, 0)
-            self.watch.disarm(client)
+            self.watchdog.disarm(client)
             self.guard.budget.release(client)
             self._sockets.used -= 1
 
@@ -536,7 +536,7 @@
     def look_at_all(self) -> None:
         """Look at every connection in the next turn: other rules hold."""
         for client in self._open:
-            self.watch.arm(client, LOOK)
+            self.watchdog.arm(client, LOOK)
 
     def turn(self) -> None:
         """With many open, close those that have been idle for long; told once a while who was shed."""
--- a/frostfall/net/watch.py
+++ b/frostfall/net/watchdog.py
@@ -27,7 +27,7 @@
         """Check what has its time; seconds until the next look, or None until it is armed again."""
 
 
-class Watch:
+class Watchdog:
     """The wheel of all connections' deadlines."""
 
     def __init__(self, steady: Callable[[], float] = monotonic) -> None:
--- a/frostfall/routing/apart.py
+++ b/frostfall/routing/ejection.py
@@ -1,4 +1,4 @@
-"""Servers set apart because they turned slow in the middle of an exchange, and how they come back.
+"""Outlier ejection: servers set apart that turned slow in the middle of an exchange, and their way back.
 
 A server that drips looks healthy to everything that counts answers or connections: it accepts at once and
 fails no request for long. So the drivers tell of it as an event of its own. It is then set apart for a pause
@@ -18,7 +18,7 @@
 
 
 class Pauses(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """How long servers stay apart, and how many of them. ValueError where the figures do not go together."""
+    """How long servers stay ejected, and how many. ValueError where the figures do not go together."""
 
     first: float = 0.5  # seconds
     most: float = 16.0  # seconds
@@ -45,11 +45,11 @@
     good: int = 0
 
 
-class Apart:
-    """Which servers are set apart. All calls take O(servers set apart) at most, those for a request O(1)."""
+class Ejections:
+    """Which servers are ejected. All calls take O(servers set apart) at most, those for a request O(1)."""
 
     def __init__(self, pauses: Pauses | None = None) -> None:
-        """With none apart."""
+        """With none ejected."""
         self.pauses = pauses or Pauses()
         self._cases: dict[int, _Case] = {}
 
@@ -58,7 +58,7 @@
         return len(self._cases)
 
     def slowed(self, now: Micros, server: int, fleet: int) -> bool:
-        """It turned slow; whether it is apart now, which it is not where too many others are."""
+        """It turned slow; whether it is ejected now, which it is not where too many others are."""
         forget = self.pauses.forget * SECOND
         self._cases = {name: case for name, case in self._cases.items() if now - case.until < forget}
         case = self._cases.get(server)
@@ -66,9 +66,9 @@
             return True  # others of its answers that were under way tell nothing new
         first, most = int(self.pauses.first * SECOND), int(self.pauses.most * SECOND)
         pause = min(case.pause * 2, most) if case else first
-        apart = sum(now < other.until for other in self._cases.values())
+        ejected = sum(now < other.until for other in self._cases.values())
         # Danger: where all are slow alike, the network or the agent is, and nobody would be left to serve.
-        if fleet < 2 or apart + 1 > max(int(fleet * self.pauses.share), 1):
+        if fleet < 2 or ejected + 1 > max(int(fleet * self.pauses.share), 1):
             return False
         self._cases[server] = _Case(now + pause, pause)
         return True
@@ -90,6 +90,6 @@
         if (case := self._cases.get(server)) and now >= case.until:
             case.good += 1
 
-    def left(self, server: int) -> None:
+    def forget(self, server: int) -> None:
         """It has left the fleet, or comes as a new start."""
         self._cases.pop(server, None)
