--- a/tests/test_crossing_requests.py
+++ b/tests/test_crossing_requests.py
@@ -167,6 +167,17 @@
     assert len(answers(driver.pass_time(S))) == 1
 
 
+def test_a_request_that_waits_for_a_server_is_sent_nowhere_once_its_client_has_gone() -> None:
+    driver = Driver(SETTINGS)
+    assert not sends(driver.ask() + driver.ask())  # there is no server to go to
+    assert len(driver.brain.held) == 2
+    driver.tell(api.ClientLeft("q1"))
+    driver.listed(server(1))
+    # Danger: a client that has gone is paid for all the same, and beyond a quarter of those fail the day.
+    assert [send.request for send in sends(driver.pass_time(S // 10))] == ["q2"]
+    assert set(driver.brain.requests) == {"q2"}
+
+
 # ---- two agents in one process ---------------------------------------------------------------------------
 
 
