--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -408,6 +408,21 @@
     assert lateness(9, 1) == lateness(9, 3) == -1
 
 
+def test_a_build_that_slows_all_servers_alike_is_not_released() -> None:
+    agent = Agent(SETTINGS, server(1), server(9, build=2))
+    agent.news(2, cap=0.1)
+    agent.brain.calm = 0.1
+    cast: list[api.CastVote] = []
+    for stage, late in ((1, 0.22), (2, 0.45)):  # of all answers, as on the day that fails its gate
+        agent.news(2, stage=stage, cap=0.5)
+        test = agent.brain.test
+        assert test is not None
+        for _ in range(3 * S // (agent.brain.turns * TICK)):
+            test.mix[3], test.mix[6:10] = 40.0, [40.0, 40 * late, 4.0, 4 * late]
+            cast += votes(agent.pass_time(agent.brain.turns * TICK))
+    assert [vote.stage for vote in cast if vote.verdict is api.Verdict.ON] == [1]
+
+
 def test_what_a_build_did_well_before_its_release_does_not_put_off_the_day_it_sours() -> None:
     agent = Agent(SETTINGS, server(1), server(9, build=2))
     agent.news(2, cap=1.0)
