--- /dev/null
+++ b/frostfall/bench/fault_soak/clients.py
@@ -0,0 +1,264 @@
+"""Clients of a soak: each behaves in one way on one connection after another, and writes down what it saw."""
+
+from __future__ import annotations
+
+import random
+import struct
+from collections import deque
+from dataclasses import dataclass
+from enum import Enum
+from time import monotonic
+
+import anyio
+
+from frostfall.bench.fault_soak.records import AnswerKind, Idempotency, RequestRecord
+from frostfall.bench.peers import SMALL_BUFFER, statement, value_for
+from frostfall.config import Address
+from frostfall.net.streams import STREAM_ERRORS, Stream, create_socket
+from frostfall.protocol import pg
+
+REJECTION_CODES = (b"53300", b"57P03")
+CONNECT_SECONDS = 1.0
+ANSWER_SLACK_SECONDS = 1.5  # past a request's time, until the client gives its connection up
+VALUE_BYTES = 100
+LARGE_VALUE_BYTES = 60_000
+PIPELINE_DEPTH = 6
+MAX_RESENDS = 1  # of a request whose connection ended before its answer, by the protocol
+
+
+class Behaviour(Enum):
+    """How a client uses its connections."""
+
+    AT_ONCE = "the next query as soon as the answer is there"
+    PAUSING = "the next query after 5 to 60 ms"
+    SILENT = "nothing for up to 1.5 s after connecting"
+    PIPELINING = "several queries at once"
+    HALF_QUERY = "half a query and then nothing"
+    SLOW_READER = "large values, read slowly"
+    LEAVING = "gone before the answer"
+    SAME_ID = "the id of a query that is open"
+    HASTY = "very little time left"
+
+
+@dataclass(frozen=True, slots=True)
+class ClientOptions:
+    """The times of a client's requests, in seconds."""
+
+    wait_seconds: float = 1.5
+    unsafe_share: float = 0.3
+
+
+class SoakClient:
+    """One client, until it is told to end."""
+
+    def __init__(
+        self,
+        name: str,
+        behaviour: Behaviour,
+        agents: dict[str, Address],
+        records: list[RequestRecord],
+        seed: int,
+        options: ClientOptions | None = None,
+    ) -> None:
+        """Ask `agents` (by name), one after another where they end connections."""
+        self.name = name
+        self.behaviour = behaviour
+        self.stopping = False
+        self._agents = agents
+        self._records = records
+        self._random = random.Random(f"{seed} {name}")
+        self._options = options or ClientOptions()
+        self._count = 0
+
+    async def run(self) -> None:
+        """Use one connection after another until `stopping`."""
+        while not self.stopping:
+            agent = self._random.choice(sorted(self._agents))
+            try:
+                connection = await _Connection.open(agent, self._agents[agent], self.behaviour)
+            except (OSError, *STREAM_ERRORS):
+                await anyio.sleep(self._random.uniform(0.02, 0.2))
+                continue
+            try:
+                await self._use(connection)
+            finally:
+                connection.close()
+
+    async def _use(self, connection: _Connection) -> None:
+        async with anyio.create_task_group() as group:
+            group.start_soon(connection.read)
+            await self._script(connection)
+            group.cancel_scope.cancel()
+
+    async def _script(self, connection: _Connection) -> None:
+        if self.behaviour is Behaviour.SILENT:
+            await connection.wait_ended(self._random.uniform(0.0, 1.5))
+        while not (self.stopping or connection.ended.is_set()):
+            match self.behaviour:
+                case Behaviour.HALF_QUERY:
+                    await self._write_half(connection)
+                    return
+                case Behaviour.LEAVING:
+                    await self._write(connection)
+                    await connection.wait_ended(self._random.uniform(0.0, 0.1))
+                    return
+                case Behaviour.PIPELINING:
+                    for _ in range(self._random.randint(2, PIPELINE_DEPTH)):
+                        await self._write(connection)
+                case Behaviour.SAME_ID:
+                    await self._write(connection)
+                    self._count -= 1
+                    await self._write(connection, is_duplicate_id=True)
+                case _:
+                    await self._write(connection)
+            if not await connection.wait_answered(self._options.wait_seconds + ANSWER_SLACK_SECONDS):
+                return
+            await self._pause(connection)
+
+    async def _pause(self, connection: _Connection) -> None:
+        if self.behaviour not in (Behaviour.AT_ONCE, Behaviour.PIPELINING):
+            await connection.wait_ended(self._random.uniform(0.005, 0.06))
+
+    async def _write_half(self, connection: _Connection) -> None:
+        text = pg.frame(b"Q", statement(f"{self.name}-half") + b"\0")
+        await connection.send(text[: self._random.randint(1, len(text) - 1)])
+        await connection.wait_ended(5.0)
+
+    async def _write(self, connection: _Connection, is_duplicate_id: bool = False) -> None:
+        self._count += 1
+        is_unsafe = self._random.random() < self._options.unsafe_share
+        wait_seconds = self._options.wait_seconds
+        if self.behaviour is Behaviour.HASTY:
+            wait_seconds = self._random.choice((0.001, 0.01, 0.03))
+        is_slow = self.behaviour is Behaviour.SLOW_READER
+        size = LARGE_VALUE_BYTES if is_slow else VALUE_BYTES
+        record = RequestRecord(
+            request_id=f"{self.name}-{self._count}",
+            agent=connection.agent,
+            client_port=connection.port,
+            idempotency=Idempotency.NON_IDEMPOTENT if is_unsafe else Idempotency.IDEMPOTENT,
+            written_at=monotonic(),
+            wait_seconds=wait_seconds,
+            is_duplicate_id=is_duplicate_id,
+            reads_slowly=is_slow,
+        )
+        text = statement(
+            record.request_id, "order" if is_unsafe else "read", size, max(int(wait_seconds * 1000), 1)
+        )
+        self._records.append(record)
+        connection.open_requests.append((record, value_for(record.request_id, size)))
+        await connection.send(pg.frame(b"Q", text + b"\0"))
+
+
+class _Connection:
+    """One connection: queries out, answers in the order of the queries."""
+
+    def __init__(self, agent: str, stream: Stream, port: int, behaviour: Behaviour) -> None:
+        self.agent = agent
+        self.port = port
+        self.ended = anyio.Event()
+        self.open_requests: deque[tuple[RequestRecord, bytes]] = deque()
+        self._stream = stream
+        self._reads_slowly = behaviour is Behaviour.SLOW_READER
+        self._data = bytearray()
+        self._current: AnswerKind | None = None
+        self._value = b""
+        self._progress = anyio.Event()
+        self._has_left = False
+
+    @classmethod
+    async def open(cls, agent: str, address: Address, behaviour: Behaviour) -> _Connection:
+        raw = create_socket(address)
+        try:
+            if behaviour is Behaviour.SLOW_READER:
+                raw.setsockopt(1, 8, SMALL_BUFFER)
+            with anyio.fail_after(CONNECT_SECONDS):
+                try:
+                    raw.connect((address.host, address.port))
+                except BlockingIOError:
+                    await anyio.wait_writable(raw)
+            port = raw.getsockname()[1]
+            raw.getpeername()  # OSError where the connection did not come up
+            connection = cls(agent, Stream(raw), port, behaviour)
+            await connection.send(pg.startup(user="web", database="orders"))
+            return connection
+        except BaseException:
+            raw.close()
+            raise
+
+    async def send(self, data: bytes) -> None:
+        try:
+            await self._stream.send(data)
+        except STREAM_ERRORS:
+            self._end()
+
+    async def read(self) -> None:
+        """Read answers until the connection ends."""
+        try:
+            while True:
+                if self._reads_slowly:
+                    await anyio.sleep(0.01)
+                self._data += await self._stream.receive(8192 if self._reads_slowly else 65536)
+                self._take_messages()
+        except STREAM_ERRORS:
+            self._end()
+
+    def _take_messages(self) -> None:
+        while len(self._data) >= 5:
+            kind, length = struct.unpack_from("!cI", self._data)
+            if len(self._data) < length + 1:
+                return
+            payload = bytes(self._data[5 : length + 1])
+            del self._data[: length + 1]
+            self._take(kind, payload)
+
+    def _take(self, kind: bytes, payload: bytes) -> None:
+        if kind == b"D":
+            self._value = payload[6:]
+        elif kind == b"C":
+            self._current = AnswerKind.ROW
+        elif kind == b"E":
+            code = next((part[1:] for part in payload.split(b"\0") if part[:1] == b"C"), b"")
+            self._current = AnswerKind.REJECTED if code in REJECTION_CODES else AnswerKind.FAILED
+            if b"SFATAL" in payload.split(b"\0"):
+                self._complete()
+        elif kind == b"Z":
+            self._complete()
+
+    def _complete(self) -> None:
+        answer, self._current = self._current, None
+        if answer is None or not self.open_requests:
+            return
+        record, value = self.open_requests.popleft()
+        record.answers.append(answer)
+        record.answered_at = monotonic()
+        record.is_value_right = answer is not AnswerKind.ROW or self._value == value
+        self._progress.set()
+
+    def _end(self) -> None:
+        if self.ended.is_set():
+            return
+        for record, _ in self.open_requests:
+            record.connection_ended_at = monotonic()
+        self.ended.set()
+        self._progress.set()
+
+    async def wait_ended(self, seconds: float) -> None:
+        """Wait until the connection has ended, but no longer than so many seconds."""
+        with anyio.move_on_after(seconds):
+            await self.ended.wait()
+
+    async def wait_answered(self, seconds: float) -> bool:
+        """Whether all open requests were answered within so many seconds."""
+        with anyio.move_on_after(seconds):
+            while self.open_requests and not self.ended.is_set():
+                self._progress = anyio.Event()
+                await self._progress.wait()
+        return not self.open_requests and not self.ended.is_set()
+
+    def close(self) -> None:
+        """Leave; what is open then was given up by the client."""
+        if not self.ended.is_set():
+            for record, _ in self.open_requests:
+                record.client_left_at = monotonic()
+        self._stream.close()
--- /dev/null
+++ b/frostfall/bench/fault_soak/shim.py
@@ -0,0 +1,156 @@
+"""Builds the preloaded fault-injection library, controls it, and reads back what an agent has read."""
+
+from __future__ import annotations
+
+import hashlib
+import os
+import struct
+import subprocess
+import tempfile
+from collections import defaultdict
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import IntEnum
+from pathlib import Path
+
+SOURCE = Path(__file__).with_name("shim.c")
+COMPILER = "cc"
+PER_MILLION = 1_000_000
+_CONTROL = struct.Struct("=q9I")
+_READ_HEADER = struct.Struct("=qIHH")
+_LENGTH = struct.Struct("!I")
+
+
+class SystemCallFault(IntEnum):
+    """The failures that the library injects, in the order of its `enum rate`."""
+
+    ACCEPT = 0
+    SOCKET = 1
+    CONNECT = 2
+    SHORT_READ = 3
+    SHORT_WRITE = 4
+    INTERRUPTED_WAIT = 5
+    BROKEN_CONNECTION = 6
+    FILE_WRITE = 7
+    FILE_SYNC = 8
+
+
+def build() -> Path:
+    """The compiled library, built once for each version of its source; CalledProcessError if that fails."""
+    digest = hashlib.sha256(SOURCE.read_bytes()).hexdigest()[:16]
+    library = Path(tempfile.gettempdir()) / f"frostfall-fault-shim-{os.getuid()}-{digest}.so"
+    if not library.exists():
+        partial = library.with_suffix(f".{os.getpid()}")
+        command = [COMPILER, "-O1", "-shared", "-fPIC", "-o", str(partial), str(SOURCE), "-ldl"]
+        subprocess.run(command, check=True)
+        partial.replace(library)
+    return library
+
+
+@dataclass(frozen=True, slots=True)
+class SocketRead:
+    """One read of a TCP socket."""
+
+    time: float  # seconds of the monotonic clock
+    local_port: int
+    peer_port: int
+    data: bytes
+
+
+class FaultShim:
+    """The library's files for one process, which may be started several times."""
+
+    def __init__(self, folder: Path, seed: int = 0) -> None:
+        """Keep the control file and the records of reads in `folder`."""
+        self.reads_path = folder / "reads"
+        self._control_path = folder / "control"
+        self._seed = seed
+        self._wall_offset_ns = 0
+        self._rates = [0] * len(SystemCallFault)
+        self._write_control()
+
+    def environment(self, durable_folder: Path | None = None) -> dict[str, str]:
+        """The variables that load the library; faults of files apply below `durable_folder`."""
+        variables = {
+            "LD_PRELOAD": str(build()),
+            "FAULT_SHIM_CONTROL": str(self._control_path),
+            "FAULT_SHIM_READS": str(self.reads_path),
+            "FAULT_SHIM_SEED": str(self._seed),
+        }
+        if durable_folder:
+            variables["FAULT_SHIM_FOLDER"] = str(durable_folder)
+        return variables
+
+    def step_wall_clock(self, offset_seconds: float) -> None:
+        """Set the process's wall clock off by so much from now on."""
+        self._wall_offset_ns = int(offset_seconds * 1e9)
+        self._write_control()
+
+    def set_rate(self, fault: SystemCallFault, share: float) -> None:
+        """Let this share of the calls fail from now on."""
+        self._rates[fault] = int(share * PER_MILLION)
+        self._write_control()
+
+    def clear(self) -> None:
+        """Let no more calls fail; the wall clock stays as it is."""
+        self._rates = [0] * len(SystemCallFault)
+        self._write_control()
+
+    def reads(self) -> Iterator[SocketRead]:
+        """All reads so far, over all starts of the process."""
+        data = self.reads_path.read_bytes() if self.reads_path.exists() else b""
+        place = 0
+        while place + _READ_HEADER.size <= len(data):
+            nanoseconds, length, local_port, peer_port = _READ_HEADER.unpack_from(data, place)
+            place += _READ_HEADER.size
+            yield SocketRead(nanoseconds / 1e9, local_port, peer_port, data[place : place + length])
+            place += length
+
+    def _write_control(self) -> None:
+        mode = "r+b" if self._control_path.exists() else "wb"
+        with self._control_path.open(mode) as file:
+            file.write(_CONTROL.pack(self._wall_offset_ns, *self._rates))
+
+
+@dataclass(frozen=True, slots=True)
+class ReadQuery:
+    """A query whose last byte the agent has read from a client."""
+
+    time: float  # seconds of the monotonic clock
+    peer_port: int
+    statement: bytes
+
+
+def whole_queries(reads: Iterator[SocketRead], listen_port: int) -> Iterator[ReadQuery]:
+    """The queries that were read whole from clients, those that were thrown away too."""
+    streams: defaultdict[int, _ClientBytes] = defaultdict(_ClientBytes)
+    for read in reads:
+        if read.local_port != listen_port:
+            continue
+        if not read.data:  # the port's next connection was accepted
+            streams.pop(read.peer_port, None)
+            continue
+        for statement in streams[read.peer_port].feed(read.data):
+            yield ReadQuery(read.time, read.peer_port, statement)
+
+
+class _ClientBytes:
+    """Cuts a client's bytes into messages; shares nothing with the program's own parser."""
+
+    def __init__(self) -> None:
+        self._data = b""
+        self._started = False
+
+    def feed(self, data: bytes) -> Iterator[bytes]:
+        self._data += data
+        while True:
+            head = 1 if self._started else 0
+            if len(self._data) < head + _LENGTH.size:
+                return
+            end = head + _LENGTH.unpack_from(self._data, head)[0]
+            if len(self._data) < end:
+                return
+            message, self._data = self._data[:end], self._data[end:]
+            if self._started and message[:1] == b"Q":
+                yield message[5:-1]
+            self._started = True
--- /dev/null
+++ b/tests/test_shutdown_answers.py
@@ -0,0 +1,126 @@
+"""A graceful shutdown under load, on a real process: no request that was read is left without its answer."""
+
+from __future__ import annotations
+
+import os
+import re
+import signal
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from pathlib import Path
+from time import monotonic
+
+import anyio
+import msgspec
+import pytest
+
+from frostfall.bench.fault_soak.clients import Behaviour, SoakClient
+from frostfall.bench.fault_soak.records import RequestRecord
+from frostfall.bench.fault_soak.shim import FaultShim, whole_queries
+from frostfall.bench.peers import Server, listening
+from frostfall.bench.stage import free_port
+from frostfall.config import Address
+from tests.standins import LONG, instance
+from tests.test_config import EXAMPLE
+
+pytestmark = pytest.mark.anyio
+ROOT = Path(__file__).parent.parent
+LONGEST_DEADLINE = max(grade["deadlineUs"] for grade in EXAMPLE["settings"]["grades"]) / 1e6
+LINGER = 0.7  # seconds for which requests may still come after SIGTERM, by the protocol
+CLIENTS_EACH = 12
+ID = re.compile(rb"id=([^,]+),")
+
+
+class AgentProcess:
+    """One agent behind the fault-injection library."""
+
+    def __init__(self, folder: Path, servers: list[Address], **changes: object) -> None:
+        self.shim = FaultShim(folder)
+        self.address = Address("127.0.0.1", free_port())
+        self._folder = folder
+        config = EXAMPLE | {
+            "listen": str(self.address),
+            "discovery": f"127.0.0.1:{free_port()}",
+            "peers": [],
+            "peer_listen": "",
+            "peers_all": "",
+            "settings": EXAMPLE["settings"] | {"nInstances": 1},
+            "release_api": EXAMPLE["release_api"] | {"address": f"127.0.0.1:{free_port()}"},
+        }
+        entries = [instance(f"s-{number}", address) for number, address in enumerate(servers)]
+        config["known"] = {"generation": 1, "reset": True, "instances": entries}
+        (folder / "config.json").write_bytes(msgspec.json.encode(config | changes))
+
+    @asynccontextmanager
+    async def running(self) -> AsyncIterator[subprocess.Popen[bytes]]:
+        environment = {
+            **os.environ,
+            **self.shim.environment(),
+            "BALANCER_CONFIG": str(self._folder / "config.json"),
+        }
+        with (self._folder / "log").open("ab") as log:
+            process = subprocess.Popen(
+                [sys.executable, "-m", "frostfall"], cwd=ROOT, env=environment, stderr=log
+            )
+        try:
+            with anyio.fail_after(LONG):
+                while b'"event": "listening"' not in (self._folder / "log").read_bytes():
+                    await anyio.sleep(0.02)
+            yield process
+        finally:
+            process.kill()
+            process.wait()
+
+    def log_lines(self) -> list[dict[str, object]]:
+        return [msgspec.json.decode(line) for line in (self._folder / "log").read_bytes().splitlines()]
+
+
+def read_and_unanswered(agent: AgentProcess, records: list[RequestRecord]) -> list[str]:
+    """The requests that the agent has read whole, and whose connection it ended without their answer."""
+    by_place = {(record.client_port, record.request_id): record for record in records}
+    lost = []
+    for query in whole_queries(agent.shim.reads(), agent.address.port):
+        match = ID.search(query.statement)
+        record = by_place.get((query.peer_port, match[1].decode())) if match else None
+        if record and not record.answers and record.client_left_at is None:
+            lost.append(record.request_id)
+    return lost
+
+
+async def test_no_request_that_was_read_is_left_unanswered_by_a_shutdown(tmp_path: Path) -> None:
+    records: list[RequestRecord] = []
+    delays = (0.05, 0.05, 0.3, 0.6)
+    behaviours = (Behaviour.AT_ONCE, Behaviour.PAUSING, Behaviour.SILENT)
+    async with anyio.create_task_group() as group, AsyncExitStack() as stack:
+        servers = [await stack.enter_async_context(listening(Server(delay=delay).serve)) for delay in delays]
+        agent = AgentProcess(tmp_path, servers)
+        async with agent.running() as process:
+            clients = [
+                SoakClient(
+                    f"{behaviour.name}-{number}",
+                    behaviour,
+                    {"n0": agent.address},
+                    records,
+                    seed=number,
+                )
+                for behaviour in behaviours
+                for number in range(CLIENTS_EACH)
+            ]
+            for client in clients:
+                group.start_soon(client.run)
+            await anyio.sleep(1.5)
+            began = monotonic()
+            process.send_signal(signal.SIGTERM)
+            with anyio.fail_after(LONG):
+                code = await anyio.to_thread.run_sync(process.wait)
+            took = monotonic() - began
+            for client in clients:
+                client.stopping = True
+            await anyio.sleep(0.1)
+        group.cancel_scope.cancel()
+    assert len([record for record in records if record.answers]) > 200
+    assert read_and_unanswered(agent, records) == []
+    assert code == 0
+    assert took < LINGER + LONGEST_DEADLINE
