--- a/frostfall/config.py
+++ b/frostfall/config.py
@@ -15,7 +15,7 @@
 from frostfall import interface as api
 from frostfall.json5_locations import find_line, parse_path
 from frostfall.limits.options import SlowPeerOptions
-from frostfall.options import Options
+from frostfall.options import LoggingOptions, Options
 from frostfall.protocol import news
 from frostfall.protocol.listing import Listing
 from frostfall.settings import SettingsError, decode_settings
@@ -97,6 +97,7 @@
     """The operator file; its section `group` is checked apart, as its type is loaded only where it is set."""
 
     slow_peers: SlowPeerOptions | None = None
+    logging: LoggingOptions = LoggingOptions()
     group: Any = None
 
 
@@ -167,12 +168,12 @@
     try:
         file = msgspec.convert(content, _OperatorFile)
         if file.group is None:
-            return Options(slow_peers=file.slow_peers)
+            return Options(slow_peers=file.slow_peers, logging=file.logging)
         # Imported here, so that an agent without a group does not load its modules.
         from frostfall.group_options import GroupSection
 
         group = msgspec.convert({"group": file.group}, GroupSection).group
-        return Options(slow_peers=file.slow_peers, group=group)
+        return Options(slow_peers=file.slow_peers, logging=file.logging, group=group)
     except msgspec.ValidationError as error:
         fault = _locate_fault(source, str(error))
         raise ConfigError(f"{name}, line {fault.line}: {fault.key}: {fault.reason}") from None
--- a/frostfall/engine/policy_engine.py
+++ b/frostfall/engine/policy_engine.py
@@ -62,6 +62,7 @@
             api.AnswerDisputed: self._answer_disputed,
             api.StreamStarted: self._stream_started,
             api.ClientDisconnected: self._client_disconnected,
+            api.AnswerDue: self._answer_due,
             api.ServerDegraded: self._server_degraded,
         }
 
@@ -133,6 +134,9 @@
     def _client_disconnected(self, _: Microseconds, event: api.ClientDisconnected) -> None:
         self.lifecycle.client_disconnected(event)
 
+    def _answer_due(self, _: Microseconds, event: api.AnswerDue) -> Iterable[api.Action]:
+        return self.lifecycle.answer_due(event)
+
     def _timer_fired(self, now: Microseconds, event: api.TimerFired) -> Iterable[api.Action]:
         return (
             self._exchange(now) if event.token == EXCHANGE_TIMER else self.lifecycle.timer_fired(now, event)
--- a/frostfall/engine/request_lifecycle.py
+++ b/frostfall/engine/request_lifecycle.py
@@ -113,6 +113,11 @@
             request.streaming = False
             self._close(request)
 
+    def answer_due(self, event: api.AnswerDue) -> Iterator[api.Action]:
+        """Give up a request that cannot be waited for any longer."""
+        if request := self.by_name.get(event.request):
+            yield from self._end_unserved(request)
+
     def may_write(self, now: Microseconds, name: str, number: int) -> bool:
         """Whether an attempt may still go out: to be asked just before its first byte."""
         request = self.by_name.get(name)
--- a/frostfall/interface.py
+++ b/frostfall/interface.py
@@ -164,6 +164,13 @@
     request: str
 
 
+@dataclass(frozen=True, slots=True)
+class AnswerDue:
+    """The agent can wait no longer: the request gets its final answer now, whatever is out for it."""
+
+    request: str
+
+
 @dataclass(frozen=True, slots=True)
 class TimerFired:
     """A timer that was set has come due."""
@@ -235,6 +242,7 @@
     | StreamStarted
     | AttemptEnded
     | ClientDisconnected
+    | AnswerDue
     | TimerFired
     | HealthCheckEnded
     | GossipReceived
--- a/frostfall/net/agent.py
+++ b/frostfall/net/agent.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import gc
-from collections.abc import Callable
+import socket
+from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
 import anyio
@@ -23,11 +24,16 @@
 from frostfall.net.endpoints import EndpointList
 from frostfall.net.engine_driver import EngineDriver
 from frostfall.net.gossip_transport import GossipTransport
+from frostfall.net.graceful_shutdown import GracefulShutdown
 from frostfall.net.health_log import HealthLog
+from frostfall.net.invariants import InvariantMonitor
+from frostfall.net.pending_answers import PendingAnswers
 from frostfall.net.reload import plan_reload
+from frostfall.net.request_trace import RequestTrace
 from frostfall.net.requests import RequestTable
 from frostfall.net.rollout_client import RolloutClient
-from frostfall.net.streams import SocketBudget, open_listener
+from frostfall.net.streams import SocketBudget, open_listener_patiently
+from frostfall.net.supervision import keep_running
 from frostfall.net.upstream_pool import UpstreamPool
 from frostfall.protocol.ending import Final
 from frostfall.protocol.listing import Listing
@@ -39,7 +45,6 @@
 RESERVED_SOCKETS = (
     32  # descriptors: a dozen of our own, connections to be rejected, and some that are closing
 )
-DRAIN_LINGER_SECONDS = 0.7  # after the order to stop, new connections may still come, by the protocol
 CLIENT_SOCKET_DIVISOR = 2  # of the descriptors: clients hold a third for requests, and some are silent
 UNREAD_MEMORY_DIVISOR = 8  # of the memory: what all clients together may have sent that is not parsed yet
 GC_THRESHOLD = 10_000  # objects allocated beyond those freed: some hundred requests in flight hold fewer
@@ -62,8 +67,10 @@
         self._monitor = ConnectionMonitor()
         self._driver = EngineDriver(self.engine, self.clock, self._execute, self._engine_failed)
         self._list_received = False  # from discovery, in this run
-        self._stopping = anyio.Event()
         self._configure_ejections()
+        self.invariants = InvariantMonitor()
+        self._trace = RequestTrace(config.options.logging.requests)
+        self.pending_answers = PendingAnswers(self.invariants, self._trace)
 
         sockets = SocketBudget(config.limits.sockets - RESERVED_SOCKETS)
         self.upstream_pool = UpstreamPool(
@@ -71,11 +78,12 @@
         )
         self.requests = RequestTable(
             self.clock,
-            {request_class.name for request_class in config.settings.classes},
+            config.settings.classes,
             post=self._driver.post,
             may_write=self.engine.may_write,
             endpoints=self.endpoints,
             pool=self.upstream_pool,
+            pending_answers=self.pending_answers,
         )
         self.clients = ClientConnections(
             self.requests,
@@ -86,6 +94,14 @@
             self.upstream_pool.evict_idle,
             self.slow_peers,
             self._monitor,
+            self.pending_answers,
+        )
+        self._shutdown = GracefulShutdown(
+            self.clock,
+            self.clients,
+            self.requests,
+            self.pending_answers,
+            max(request_class.deadline for request_class in config.settings.classes) / 1e6,
         )
         self.discovery = DiscoveryClient(
             config.discovery,
@@ -195,7 +211,7 @@
 
     def stop(self) -> None:
         """Answer what has been accepted, then let `run` return."""
-        self._stopping.set()
+        self._shutdown.order()
 
     def reload(self, config: Config) -> None:
         """Adopt the addresses of discovery and the rollout API, and the operators' options.
@@ -210,17 +226,32 @@
             self.slow_peers.reconfigure(plan.config.options.slow_peers)
             self._configure_ejections()
             self.clients.check_all()
+        self._trace.enabled = plan.config.options.logging.requests
         self.config = plan.config
         with log.bind_agent_name(self.config.name):
             _log.info("reloaded", moved=plan.moved, needs_restart=plan.needs_restart)
 
     async def run(self, ready: Callable[[], None] | None = None) -> None:
-        """Serve until stopped; `ready` is called once clients can connect. OSError where they cannot."""
-        with log.bind_agent_name(self.config.name):  # another agent of this process has another name
-            await self._run(ready)
+        """Serve until stopped; `ready` is called once clients can connect. OSError where they cannot.
 
-    async def _run(self, ready: Callable[[], None] | None) -> None:
-        listener = open_listener(self.config.listen)
+        Where the task that runs this is cancelled, all that was accepted gets its final answer first, within
+        `drain.ABANDON_SECONDS`.
+        """
+        with log.bind_agent_name(self.config.name):  # another agent of this process has another name
+            listener = await open_listener_patiently(self.config.listen)
+            async with anyio.create_task_group() as outer:
+                outer.start_soon(self._abandon_when_cancelled)
+                with anyio.CancelScope(shield=True):
+                    await self._run(listener, ready)
+                outer.cancel_scope.cancel()
+
+    async def _abandon_when_cancelled(self) -> None:
+        try:
+            await anyio.sleep_forever()
+        finally:
+            self._shutdown.abandon()
+
+    async def _run(self, listener: socket.socket, ready: Callable[[], None] | None) -> None:
         async with anyio.create_task_group() as task_group:
             self.requests.start(task_group, self._group_member.operations if self._group_member else None)
             self._driver.start()
@@ -238,6 +269,7 @@
             if ready:
                 ready()
             await self.clients.run(listener)
+            self._shutdown.finished()
             task_group.cancel_scope.cancel()
         self.upstream_pool.close()
         if self._group_member:
@@ -258,14 +290,26 @@
     def _start_tasks(self, task_group: TaskGroup) -> None:
         if self._group_member:
             task_group.start_soon(self._group_member.run, self._cached_list_read)
-        for driver in (self.rollout_client, self._gossip, self.discovery):
-            if driver:
-                task_group.start_soon(driver.run)
-        task_group.start_soon(self._timers.run, lambda token: self.post(api.TimerFired(token)))
-        task_group.start_soon(self.upstream_pool.run_sweeper)
-        task_group.start_soon(self._monitor.run, self.clients.on_tick)
-        task_group.start_soon(self._make_health_log().run)
-        task_group.start_soon(self._shut_down_when_stopped, task_group.cancel_scope)
+        loops: dict[str, Callable[[], Awaitable[None]]] = {
+            "discovery": self.discovery.run,
+            "timers": self._run_timers,
+            "upstream sweeper": self.upstream_pool.run_sweeper,
+            "connection monitor": self._run_monitor,
+            "health": self._make_health_log().run,
+        }
+        if self.rollout_client:
+            loops["rollout"] = self.rollout_client.run
+        if self._gossip:
+            loops["gossip"] = self._gossip.run
+        for name, loop in loops.items():
+            task_group.start_soon(keep_running, name, loop)
+        task_group.start_soon(self._shutdown.run)
+
+    async def _run_timers(self) -> None:
+        await self._timers.run(lambda token: self.post(api.TimerFired(token)))
+
+    async def _run_monitor(self) -> None:
+        await self._monitor.run(self.clients.on_tick)
 
     def _make_health_log(self) -> HealthLog:
         return HealthLog(
@@ -275,20 +319,10 @@
             requests=self.requests,
             slow_peers=self.slow_peers,
             monitor=self._monitor,
+            invariants=self.invariants,
             max_descriptors=self.config.limits.sockets,
         )
 
-    async def _shut_down_when_stopped(self, tasks: anyio.CancelScope) -> None:
-        await self._stopping.wait()
-        _log.info("stopping", clients=len(self.clients), requests=len(self.requests))
-        self.clients.drain()
-        await anyio.sleep(DRAIN_LINGER_SECONDS)
-        self.clients.stop()
-        # By then no answer is worth anything: clients that do not read theirs must not keep the agent up.
-        await anyio.sleep(self._max_request_seconds)
-        _log.warning("stopped before all was read", clients=len(self.clients))
-        tasks.cancel()
-
 
 def _max_request_seconds(settings: Settings) -> float:
     """The time from a request's arrival after which its answer is of no use in any class."""
--- a/frostfall/net/client_acceptor.py
+++ b/frostfall/net/client_acceptor.py
@@ -11,7 +11,7 @@
 from anyio.lowlevel import checkpoint
 
 from frostfall.limits.arrival_pacing import ArrivalPacer, ArrivalRate
-from frostfall.net.streams import Stream
+from frostfall.net.streams import LISTEN_BACKLOG, Stream
 
 ACCEPT_RETRY_SECONDS = 0.01  # after an error, or while too many connections wait to be rejected
 MAX_ACCEPTS_PER_TURN = 16  # so that a flood of connections leaves the open ones their turn
@@ -47,6 +47,7 @@
         self._listener = listener
         self._target = target
         self._pacer = ArrivalPacer()
+        self._accepted_count = 0
 
     async def run(self) -> None:
         """Accept connections until cancelled."""
@@ -55,11 +56,13 @@
             await self._accept_turn()
 
     async def accept_pending(self) -> None:
-        """Accept those connections only that the kernel has accepted already."""
-        pending = True
-        while pending:
+        """Accept those connections only that the kernel has accepted already.
+
+        Under a flow of new ones the queue is never empty; so no more are taken than it holds at a time.
+        """
+        last = self._accepted_count + LISTEN_BACKLOG + 1
+        while self._accepted_count < last and await self._accept_turn():
             await checkpoint()
-            pending = await self._accept_turn()
 
     async def _accept_turn(self) -> bool:
         """Accept a turn's worth of connections; False once none is left in the kernel's queue."""
@@ -82,6 +85,7 @@
                 break
             # A request counts as accepted while its connection still waits in the kernel's queue, so all are
             # taken from there; without room, the first query is rejected unseen.
+            self._accepted_count += 1
             with suppress(OSError):
                 self._target.add(Stream(raw), str(address[0]))
             if self._target.overflow_count >= MAX_OVERFLOW_CONNECTIONS:
--- a/frostfall/net/client_connection.py
+++ b/frostfall/net/client_connection.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+from itertools import count
 from time import monotonic
 
 import anyio
 from anyio.lowlevel import checkpoint
 
+from frostfall import log
 from frostfall.limits.fair_scheduling import DeficitCounter
 from frostfall.limits.shed_counter import ShedReason
 from frostfall.limits.slow_peer_detector import ConnectionProgress
 from frostfall.net.client_interfaces import ConnectionOwner, QueryHandler
 from frostfall.net.connection_monitor import MonitoredConnection
+from frostfall.net.reasons import CloseReason, RejectReason
+from frostfall.net.request_trace import Step
 from frostfall.net.streams import STREAM_ERRORS, Stream
 from frostfall.protocol import pg, pg_server
 from frostfall.protocol.pg_server import Closed, Query, Reply, ServerSide
@@ -19,9 +23,13 @@
 IDLE_CLOSE_SECONDS = 2.0  # without an open request, a connection may be closed then, by the protocol
 CHECK_INTERVAL_SECONDS = 0.25  # between checks of a client that owes something or is owed something
 DELIVERY_POLL_SECONDS = 0.01  # between looks at whether the last bytes have reached the client
+CLOSE_LINGER_SECONDS = 0.25  # for a client whose next bytes crossed the end, to close first
 MAX_PENDING_OUTPUT_BYTES = 64 * 1024  # unwritten, beyond which a connection's next query is not looked at
 SMALL_BUFFER_BYTES = 8 * 1024  # a connection may always hold so much unread: little, for all together
 
+_numbers = count(1)
+_log = log.get_logger("clients")
+
 
 class ClientConnection(MonitoredConnection):
     """Drives the server's side of the protocol over one stream."""
@@ -39,6 +47,7 @@
         An overflow connection is beyond the bound: unless promoted, its first query is rejected.
         """
         super().__init__()
+        self.number = next(_numbers)  # names the connection in the log
         self.is_overflow = is_overflow
         self.source = source
         self.progress = ConnectionProgress()
@@ -56,11 +65,14 @@
         self._output_since = 0.0  # monitor's time since when there is output that waits
         self._flushed = anyio.Event()
         self._answered = anyio.Event()
+        self._pending = owner.pending_answers
         self._scope = anyio.CancelScope()
+        self._input_scope = anyio.CancelScope()  # ends when the connection begins to close
         self._processing = False
         self._disconnected = False  # the client has gone, or was given up
         self._closing = False  # the connection ends once its output is delivered
         self._closing_since = 0.0
+        self._close_reason: CloseReason | None = None  # why it is closing, or is to close once it is idle
         self._monitored_since = owner.monitor.now
         self._has_queried = False  # a whole query has come
         self._was_answered = False
@@ -68,18 +80,41 @@
 
     async def run(self) -> None:
         """Serve until either side ends it."""
+        if self._pending.trace.enabled:
+            self._pending.trace.record(Step.CONNECTED, connection=self.number, source=self.source)
         try:
             with self._scope:
-                if await self._read():
-                    while self._output:
-                        await self._flushed.wait()
-                    while await self._awaits_delivery():
-                        self._stream.discard_input()
-                    self._stream.discard_input()
+                with self._input_scope:
+                    await self._read()
+                if self._closing:
+                    await self._deliver()
         finally:
-            self._disconnected = True
-            self._handler.client_disconnected(self)
-            self._stream.close()
+            self._end()
+
+    def _end(self) -> None:
+        """Release all that the connection holds; what is still owed is answered first."""
+        if not self._disconnected:
+            if not self._closing:
+                self._close_reason = CloseReason.FAULT
+            self._answer_remaining()
+            self._pending.may_close(self)
+        self._disconnected = True
+        self._pending.client_left(self)
+        self._handler.client_disconnected(self)
+        self._stream.close()
+        if self._pending.trace.enabled and self._close_reason:
+            self._pending.trace.record(Step.CLOSED, connection=self.number, reason=self._close_reason.value)
+
+    def _answer_remaining(self) -> None:
+        """Answer what was read, as far as the kernel takes it: the connection ends before its time."""
+        try:
+            if self._machine.busy:
+                self.answer(pg_server.failed())
+            while isinstance(self._machine.next_event(), Query):
+                self._pending.accept(self)
+                self.answer(pg_server.refused(0))
+        except Exception:  # a fault must not keep the stream from being closed
+            _log.exception("last answers failed", connection=self.number)
 
     # ---- state -------------------------------------------------------------------------------------
 
@@ -115,23 +150,46 @@
         self._was_answered = True
         self.last_used_at = monotonic()
         self._machine.answered()
-        self._send(data, closing=self.draining and not self._machine.buffered)
+        self._pending.answered(self)
+        self._send(data)
+        if self.draining and not self._machine.buffered:
+            self._begin_closing(self._close_reason or CloseReason.DRAINED)
         self._answered.set()
         if self._machine.buffered and not self._processing:
-            self._owner.start_soon(self._process_buffered)
+            self._owner.start_soon(self._process_buffered_aside)
         self._owner.mark_idle(self)
 
     def drain(self) -> None:
         """End once the answer is given, or at once where it may be closed."""
         self.draining = True
         if self.can_close:
-            self.begin_close()
+            self.begin_close(CloseReason.DRAINED)
 
-    def begin_close(self) -> None:
+    def begin_close(self, reason: CloseReason = CloseReason.NEEDED_ROOM) -> None:
         """End at once where no answer is owed; what has come by now is still answered."""
         self.draining = True
-        if not self._machine.busy:
-            self._send(b"", closing=True)
+        self._close_reason = self._close_reason or reason
+        if not (self._machine.busy or self._machine.buffered or self._stream.has_input):
+            self._begin_closing(reason)
+
+    def finish(self) -> None:
+        """End now; what was read is answered, a query half read is rejected, and nothing more is read."""
+        self.draining = True
+        if self._closing or self._disconnected or self._machine.closed:
+            return
+        if self._machine.busy:
+            self.answer(pg_server.failed())
+        while isinstance(event := self._machine.next_event(), Query):
+            self._pending.accept(self)
+            self._trace_rejection(RejectReason.SHUTDOWN)
+            self.answer(pg_server.refused(0))
+        if event is None and self._machine.buffered:
+            self._send(self._machine.reject_partial().data)
+        self._begin_closing(CloseReason.SHUTDOWN)
+
+    def cut_off(self) -> None:
+        """End without waiting for a client that does not take its last bytes."""
+        self._abort(CloseReason.SHUTDOWN)
 
     def shed(self, reason: ShedReason) -> None:
         """Drop the client without a message, as nothing reaches it in time."""
@@ -139,7 +197,7 @@
         self._owner.slow_peers.budget.release(self)
         # Without a reset the kernel would hold the unread bytes until its own timeouts, minutes later.
         self._stream.reset_on_close()
-        self._abort()
+        self._abort(CloseReason.CLIENT_READS_TOO_SLOWLY)
 
     # ---- the monitor's checks ----------------------------------------------------------------------
 
@@ -156,7 +214,7 @@
         if self._output:
             if not self._output_expired(now):
                 return CHECK_INTERVAL_SECONDS
-            self._abort()
+            self._abort(CloseReason.CLIENT_READS_TOO_SLOWLY)
         elif self._machine.busy or self._closing:
             pass
         elif (delay := self._check_sending(now)) is not None:
@@ -193,42 +251,74 @@
             silence = now - silent_since
             if silence <= IDLE_CLOSE_SECONDS:
                 return max(IDLE_CLOSE_SECONDS - silence, CHECK_INTERVAL_SECONDS)
-            self._reject(pg.Malformed.SILENT)
+            if self.draining and partial_since is None:
+                self.begin_close(CloseReason.SILENT)
+            else:
+                self._reject(pg.Malformed.SILENT)
         return None
 
     # ---- output ------------------------------------------------------------------------------------
 
-    def _abort(self) -> None:
+    def _abort(self, reason: CloseReason) -> None:
+        """End at once: the client has gone, or takes nothing, so that nothing is owed to it any more."""
+        if self._disconnected:
+            return
         self._disconnected = True
+        self._close_reason = reason
+        self._pending.client_left(self)
         self._scope.cancel()
 
     def _reject(self, why: pg.Malformed, text: str | None = None) -> None:
+        """End the connection of a client that does not speak the protocol, with a last error."""
         self._owner.malformed_counts[text or why.value] += 1
-        self._send(self._machine.refuse(why, text).data, closing=True)
+        self._send(self._machine.refuse(why, text).data)
+        self._begin_closing(CloseReason.SILENT if why is pg.Malformed.SILENT else CloseReason.MALFORMED)
 
-    def _send(self, data: bytes, closing: bool = False) -> None:
-        """Write data, or queue what the kernel does not take; with `closing`, end the connection after it."""
-        if self._disconnected:
+    def _reject_query(self, fault: str) -> None:
+        """Answer a query that cannot be served, and end the connection behind what was read with it."""
+        self._machine.answered()
+        self._pending.answered(self)
+        if not self._machine.buffered:
+            self._reject(pg.Malformed.TEXT, fault)
+            return
+        self._owner.malformed_counts[fault] += 1
+        self.draining = True
+        self._close_reason = CloseReason.MALFORMED
+        self._send(pg_server.malformed(fault))
+
+    def _send(self, data: bytes) -> None:
+        """Write data, or queue what the kernel does not take."""
+        if self._disconnected or not data:
             return
         self.progress.bytes_written += len(data)
-        if data and self._owner.slow_peers.watches_clients:
+        if self._owner.slow_peers.watches_clients:
             self._owner.monitor.schedule(self, CHECK_INTERVAL_SECONDS)
-        if data and not self._output:
+        if not self._output:
             try:
                 data = data[self._stream.write(data) :]
             except STREAM_ERRORS:
-                self._abort()
+                self._abort(CloseReason.BROKEN)
                 return
         if data:
             self._queue_output(data)
-            if self._disconnected:
-                return
-        if closing and not self._closing:
-            # A query that was read is ours to answer; one that was not read is sent again by its client. So
-            # reading ends first, and what has come by now is still handled.
-            self._closing, self._closing_since = True, monotonic()
-            self._owner.mark_closing(self)
-            self._stream.shutdown_read()
+
+    def _begin_closing(self, reason: CloseReason) -> None:
+        """Read nothing more, and end the connection behind its output: the one place where closing begins.
+
+        The client is told by the end of the output. What it sends from then on is never read, and sent once
+        more elsewhere by the client, as the protocol has it.
+        """
+        if self._closing or self._disconnected:
+            return
+        if not self._pending.may_close(self):
+            self.answer(pg_server.failed())
+        self._closing = True
+        self._closing_since = monotonic()
+        self._close_reason = reason
+        self._owner.mark_closing(self)
+        if not self._output:
+            self._stream.shutdown_write()
+        self._input_scope.cancel()
 
     def _queue_output(self, data: bytes) -> None:
         if not self._output:
@@ -242,63 +332,98 @@
             self._owner.enforce_buffer_limits(self)
 
     async def _flush(self) -> None:
+        try:
+            await self._flush_output()
+        except Exception:  # a fault in one connection must not end the others
+            self._end_after_fault()
+
+    async def _flush_output(self) -> None:
         try:
             while self._output and not self._disconnected:
                 await self._stream.wait_writable()
                 # By pieces: a large value written whole to one client would hold up all the others.
                 piece = self._output[: self._owner.slow_peers.options.turn.size]
-                del self._output[: self._stream.write(piece)]
+                if written := self._stream.write(piece):
+                    del self._output[:written]
+                    self._output_since = self._owner.monitor.now
+                else:  # writable, and yet nothing was taken: the kernel is short of memory
+                    await anyio.sleep(DELIVERY_POLL_SECONDS)
         except STREAM_ERRORS:
-            self._abort()
+            self._abort(CloseReason.BROKEN)
+        if self._closing:
+            self._stream.shutdown_write()
         self._flushed.set()
         await self._process_buffered()
 
-    async def _awaits_delivery(self) -> bool:
-        """Whether some of the output has yet to reach the client, after a pause in which it may."""
-        # A close with bytes unread, or behind which more come, is a reset, and output that the kernel holds
-        # is lost with it; so input is read until the output is delivered. An acknowledgement may take 40 ms,
-        # in which a crowd would hold all descriptors; when full, bytes sent once are left to the network.
-        pending = self._stream.unsent_bytes if self._owner.is_full else self._stream.unacknowledged_bytes
-        expired = monotonic() > self._closing_since + self._owner.max_request_seconds
-        if self._disconnected or expired or not pending:
-            return False
-        await anyio.sleep(DELIVERY_POLL_SECONDS)
-        return True
+    async def _process_buffered_aside(self) -> None:
+        try:
+            await self._process_buffered()
+        except Exception:  # a fault in one connection must not end the others
+            self._end_after_fault()
+
+    def _end_after_fault(self) -> None:
+        """End this connection; its own task answers what is owed on it."""
+        _log.exception("connection failed", connection=self.number)
+        self._close_reason = CloseReason.FAULT
+        self._scope.cancel()
+
+    async def _deliver(self) -> None:
+        """Wait until the output has reached the client, and a moment more for the client to close first."""
+        # A close with bytes unread is a reset, and output that the kernel still holds is lost with it.
+        while self._output and not self._disconnected:
+            await self._flushed.wait()
+        give_up_at = self._closing_since + self._owner.max_request_seconds
+        while self._stream.unacknowledged_bytes and monotonic() < give_up_at:
+            if self._stream.peer_has_closed:
+                return
+            # An acknowledgement may take 40 ms, in which a crowd would hold all descriptors; when full, bytes
+            # that were sent once are left to the network.
+            if self._disconnected or (self._owner.is_full and not self._stream.unsent_bytes):
+                return
+            await anyio.sleep(DELIVERY_POLL_SECONDS)
+        # Bytes that crossed the end of the output turn the close into a reset: a client is given time to read
+        # its last answer and to close first.
+        linger_until = min(monotonic() + CLOSE_LINGER_SECONDS, give_up_at)
+        while self._stream.has_input and not self._stream.peer_has_closed and monotonic() < linger_until:
+            if self._disconnected or self._owner.is_full:
+                return
+            await anyio.sleep(DELIVERY_POLL_SECONDS)
 
     # ---- input -------------------------------------------------------------------------------------
 
-    async def _read(self) -> bool:
-        """Read until the connection is to end; False where the client has gone."""
-        while not self._machine.closed:
+    async def _read(self) -> None:
+        """Read until the connection is to end, or the client has gone."""
+        while not (self._machine.closed or self._closing or self._disconnected):
             if self._machine.buffered > pg.READ_MOST and (self._machine.busy or self._output):
                 await self._wait_until_caught_up()  # a client that pipelines waits for its answers
                 continue
             try:
-                data = await self._stream.receive()
+                await self._stream.wait_readable()
+                if self._closing:  # begun while this task was about to run: what has come stays unread
+                    return
+                data = self._stream.read()
             except anyio.EndOfStream:
-                if not self._closing:
-                    return False
-                if self._machine.busy or self._output:
-                    await self._wait_until_caught_up()
-                elif not await self._awaits_delivery():
-                    return True
-                continue
+                self._abort(CloseReason.CLIENT_LEFT)
             except STREAM_ERRORS:
-                return False
-            await self._receive(data)
-        return True
+                self._abort(CloseReason.BROKEN)
+            else:
+                await self._receive(data)
 
     async def _receive(self, data: bytes) -> None:
+        if not data:
+            return
         self.last_used_at = monotonic()
         self.progress.bytes_received += len(data)
         self._machine.feed(data)
         await self._process_buffered()
         machine = self._machine
-        if not machine.busy and machine.buffered > SMALL_BUFFER_BYTES and self._owner.memory_exceeded:
+        is_partial = machine.buffered and not (machine.busy or self._is_throttled or machine.closed)
+        if is_partial and machine.buffered > SMALL_BUFFER_BYTES and self._owner.memory_exceeded:
             machine.refuse(pg.Malformed.OVERSIZE)  # a query half read was not accepted, so it may be rejected
-            self._send(pg_server.refused(0), closing=True)
+            self._send(pg_server.refused(0))
+            self._begin_closing(CloseReason.OVERSIZE)
         elif self.draining and self.can_close:
-            self.begin_close()
+            self.begin_close(CloseReason.DRAINED)
 
     async def _wait_until_caught_up(self) -> None:
         if self._output:
@@ -353,11 +478,26 @@
             case Query(text):
                 self._has_queried = True
                 self._owner.mark_active(self)
-                if self.is_overflow and not self._owner.promote(self):
-                    self.answer(pg_server.refused(0))
-                elif fault := self._handler.handle_query(self, text):
-                    self._reject(pg.Malformed.TEXT, fault)
+                self._handle_query(text)
             case Closed(data, why):
                 if why:
                     self._owner.malformed_counts[why.value] += 1
-                self._send(data, closing=True)
+                self._send(data)
+                self._begin_closing(CloseReason.MALFORMED if why else CloseReason.CLIENT_TERMINATED)
+
+    def _handle_query(self, text: bytes) -> None:
+        self._pending.accept(self)
+        if not self._pending.admitting:
+            self._trace_rejection(RejectReason.DRAINING)
+            self.answer(pg_server.refused(0))
+        elif self.is_overflow and not self._owner.promote(self):
+            self._trace_rejection(RejectReason.OVERFLOW)
+            self.answer(pg_server.refused(0))
+        elif fault := self._handler.handle_query(self, text):
+            self._reject_query(fault)
+        elif self.request is not None:
+            self._pending.identify(self, self.request)
+
+    def _trace_rejection(self, reason: RejectReason) -> None:
+        if self._pending.trace.enabled:
+            self._pending.trace.record(Step.REJECTED, connection=self.number, reason=reason.value)
--- a/frostfall/net/client_connections.py
+++ b/frostfall/net/client_connections.py
@@ -22,9 +22,13 @@
 )
 from frostfall.net.client_interfaces import QueryHandler
 from frostfall.net.connection_monitor import ConnectionMonitor
+from frostfall.net.pending_answers import PendingAnswers
+from frostfall.net.reasons import CloseReason
 from frostfall.net.streams import SocketBudget, Stream
+from frostfall.net.supervision import keep_running
 
 NEW_CONNECTION_GRACE_SECONDS = 0.05  # a usual client writes at once; until then it does not count as silent
+ACCEPT_PENDING_SECONDS = 0.3  # for those that the kernel has accepted as accepting ends, also in a crowd
 IDLE_CLOSE_FILL_FRACTION = 0.5  # of the bound: with more open, those that are idle for long are closed
 
 _log = log.get_logger("clients")
@@ -47,6 +51,7 @@
         evict_other: Callable[[], bool],
         slow_peers: SlowPeerDetector[ClientConnection] | None = None,
         monitor: ConnectionMonitor | None = None,
+        pending_answers: PendingAnswers | None = None,
     ) -> None:
         """`evict_other` closes a connection of another use, False where it has none to spare.
 
@@ -54,6 +59,7 @@
         """
         self.slow_peers = slow_peers or SlowPeerDetector[ClientConnection]()
         self.monitor = ConnectionMonitor() if monitor is None else monitor
+        self.pending_answers = pending_answers or PendingAnswers()
         self.max_request_seconds = max_request_seconds
         self.malformed_counts = Counter[str]()  # rejected input by reason, since the last health line
         self.sockets = sockets
@@ -86,31 +92,42 @@
                 async with anyio.create_task_group() as self._connection_tasks:
                     acceptor = ClientAcceptor(listener, self)
                     with anyio.CancelScope() as self._accepting:
-                        await acceptor.run()
+                        await keep_running("accept", acceptor.run)
                     # What the kernel has accepted by now would be reset as the listener closes.
-                    with anyio.move_on_after(self.max_request_seconds):
-                        await acceptor.accept_pending()
+                    with anyio.move_on_after(ACCEPT_PENDING_SECONDS):
+                        await self._accept_pending(acceptor)
                     listener.close()
                 self._side_tasks.cancel_scope.cancel()
         finally:
             listener.close()
 
+    async def _accept_pending(self, acceptor: ClientAcceptor) -> None:
+        try:
+            await acceptor.accept_pending()
+        except Exception:  # the connections that are open still need their answers
+            _log.exception("accepting the last connections failed")
+
     def drain(self) -> None:
         """From now on connections end with their answer, and those that have had one end at once."""
         self._draining = True
-        for client in self._open:
+        for client in list(self._open):
             client.drain()
 
     def stop(self) -> None:
         """Accept no more connections; `run` returns once the open ones have ended."""
         if self._accepting:
             self._accepting.cancel()
-        self._draining = True
-        for client in self._open:
-            if client.idle:
-                client.begin_close()
-            else:
-                client.draining = True
+        self.drain()
+
+    def finish(self) -> None:
+        """End every connection now, with a final answer to all that was read from it."""
+        for client in list(self._open):
+            client.finish()
+
+    def cut_off(self) -> None:
+        """End the connections of clients that have not taken their last bytes."""
+        for client in list(self._open):
+            client.cut_off()
 
     def check_all(self) -> None:
         """Check every connection soon, as the options have changed."""
@@ -128,7 +145,7 @@
             if client.idle:
                 if client.last_used_at > before:
                     break
-                client.begin_close()
+                client.begin_close(CloseReason.IDLE)
 
     # ---- for the acceptor --------------------------------------------------------------------------
 
--- a/frostfall/net/client_interfaces.py
+++ b/frostfall/net/client_interfaces.py
@@ -8,6 +8,7 @@
 
 from frostfall.limits.slow_peer_detector import SlowPeerDetector
 from frostfall.net.connection_monitor import ConnectionMonitor
+from frostfall.net.pending_answers import PendingAnswers
 
 if TYPE_CHECKING:
     from frostfall.net.client_connection import ClientConnection
@@ -30,6 +31,7 @@
     monitor: ConnectionMonitor
     max_request_seconds: float
     malformed_counts: Counter[str]
+    pending_answers: PendingAnswers
 
     @property
     def memory_exceeded(self) -> bool:
--- a/frostfall/net/health_log.py
+++ b/frostfall/net/health_log.py
@@ -15,6 +15,7 @@
 from frostfall.net.client_connections import ClientConnections
 from frostfall.net.clock import TimerQueue
 from frostfall.net.connection_monitor import ConnectionMonitor
+from frostfall.net.invariants import InvariantMonitor
 
 INTERVAL_SECONDS = 5.0
 
@@ -31,6 +32,7 @@
     requests: Sized
     slow_peers: SlowPeerDetector[Any]
     monitor: ConnectionMonitor
+    invariants: InvariantMonitor
     max_descriptors: int
 
     async def run(self) -> None:
@@ -54,6 +56,7 @@
             malformed=dict(self.clients.malformed_counts),
             shed=self.slow_peers.shed_counter.totals(),
             waiting=self.slow_peers.budget.buffered_bytes,
+            violations=self.invariants.counts,
             slept_s=round(self.monitor.clock.stalled_seconds, 3),
         )
         self.clients.malformed_counts.clear()
--- a/frostfall/net/reload.py
+++ b/frostfall/net/reload.py
@@ -37,9 +37,11 @@
     if options.group != current.options.group:
         needs_restart.append("group")
         options = msgspec.structs.replace(options, group=current.options.group)
-    slow_peers_changed = options != current.options
+    slow_peers_changed = options.slow_peers != current.options.slow_peers
     if slow_peers_changed:
         moved.append("slow_peers")
+    if options.logging != current.options.logging:
+        moved.append("logging")
     return ReloadPlan(
         config=replace(current, discovery=new.discovery, rollout_api=platform, options=options),
         rollout_address=new.rollout_api if has_rollout_client else None,
--- a/frostfall/net/requests.py
+++ b/frostfall/net/requests.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -14,8 +14,13 @@
 from frostfall.net.client_connection import ClientConnection
 from frostfall.net.clock import Clock
 from frostfall.net.endpoints import EndpointList
+from frostfall.net.invariants import Invariant
+from frostfall.net.pending_answers import PendingAnswers
+from frostfall.net.reasons import CancelReason
+from frostfall.net.request_trace import Step
 from frostfall.net.upstream_connection import UpstreamAttempt
 from frostfall.net.upstream_pool import UpstreamPool
+from frostfall.policy.repeat_safety import WrittenAttempt, may_repeat
 from frostfall.protocol import entries, statement
 from frostfall.protocol.ending import Ending, Final, Progress
 from frostfall.protocol.pg import READY
@@ -65,16 +70,20 @@
     def __init__(
         self,
         clock: Clock,
-        class_names: set[str],
+        classes: Iterable[api.RequestClass],
         *,
         post: Callable[[api.Event], None],
         may_write: MayWrite,
         endpoints: EndpointList,
         pool: UpstreamPool,
+        pending_answers: PendingAnswers,
     ) -> None:
         """`post` hands events to the engine; `may_write` is its last word before an attempt goes out."""
         self._clock = clock
-        self._class_names = class_names
+        self._classes = {request_class.name: request_class for request_class in classes}
+        self._invariants = pending_answers.invariants
+        self._trace = pending_answers.trace
+        self._latest_deadline: int | None = None  # microseconds of the clock, once the agent is draining
         self._post = post
         self._may_write = may_write
         self._endpoints = endpoints
@@ -105,16 +114,26 @@
         parsed = statement.parse(text)
         if isinstance(parsed, str):
             return parsed
-        if parsed.class_name not in self._class_names:
+        if parsed.class_name not in self._classes:
             return "an unknown class"
         operations = self._operations
         if parsed.request in self._requests and not (operations and operations.is_known(parsed)):
             return "an id that is in use"
         deadline = now + parsed.wait_ms * 1000
+        if self._latest_deadline is not None:
+            deadline = min(deadline, self._latest_deadline)
         client.request, client.progress.class_name = parsed.request, parsed.class_name
         if operations and operations.handle_query(parsed, client, deadline):
             return None
         self._requests[parsed.request] = _Request(parsed, client, deadline)
+        if self._trace.enabled:
+            self._trace.record(
+                Step.ACCEPTED,
+                request=parsed.request,
+                connection=client.number,
+                class_name=parsed.class_name,
+                wait_ms=(deadline - now) // 1000,
+            )
         self._post(
             api.RequestArrived(
                 parsed.request, parsed.class_name, deadline, parsed.key, parsed.hint, None, parsed.is_retry
@@ -127,9 +146,22 @@
         name, client.request = client.request, None
         if name is not None and (request := self._requests.get(name)):
             request.done = True
+            if self._trace.enabled:
+                self._trace.record(Step.CLIENT_LEFT, request=name)
             self._post(api.ClientDisconnected(name))
             self._forget(name)
 
+    # ---- shutdown ----------------------------------------------------------------------------------
+
+    def limit_deadlines(self, latest: int) -> None:
+        """Let no query that is accepted from now on wait beyond this moment, in microseconds of the clock."""
+        self._latest_deadline = latest
+
+    def give_up_all(self) -> None:
+        """Let the engine give every open request its final answer now."""
+        for name in [name for name, request in self._requests.items() if not request.done]:
+            self._post(api.AnswerDue(name))
+
     # ---- answers -----------------------------------------------------------------------------------
 
     def conclude(self, name: str, answer: bytes, end: Final) -> None:
@@ -168,6 +200,8 @@
     def cancel_attempt(self, name: str, number: int) -> None:
         """Cancel an attempt of a request; its end is still reported."""
         if (known := self._requests.get(name)) and number < len(known.attempts):
+            if self._trace.enabled:
+                self._trace_cancellation(name, CancelReason.DECIDED)
             known.attempts[number].cancel()
 
     def send_attempt(self, action: api.SendAttempt) -> None:
@@ -178,6 +212,10 @@
             _log.error("attempt for a request that has ended", request=action.request)
             return
         number = len(request.attempts)
+        if self._trace.enabled:
+            self._trace.record(
+                Step.ATTEMPT_STARTED, request=action.request, attempt=number, server=action.server
+            )
 
         def on_degraded() -> None:  # posted before the attempt's end, so that no further one goes there
             self._post(api.ServerDegraded(action.server))
@@ -231,13 +269,48 @@
             or not self._may_write(now, action.request, dispatch.number)
         ):
             return None
+        if not self._invariants_hold(dispatch, now):
+            return None
+        dispatch.attempt.written_at = now
+        if self._trace.enabled:
+            self._trace.record(Step.ATTEMPT_WRITTEN, request=action.request, attempt=dispatch.number)
         return request.statement.waiting((dispatch.deadline - now) // 1000)
 
+    def _invariants_hold(self, dispatch: _Dispatch, now: int) -> bool:
+        """The guard of each write: what must hold whatever the policies have decided."""
+        request, name = dispatch.request, dispatch.action.request
+        waits = request.client.request == name or self._operations is not None
+        earlier = [
+            WrittenAttempt(attempt.written_at, attempt.outcome)
+            for attempt in request.attempts
+            if attempt is not dispatch.attempt and attempt.progress >= Progress.WRITTEN
+        ]
+        is_safe = may_repeat(now, self._classes[request.statement.class_name], earlier)
+        check = self._invariants.check
+        return (
+            check(Invariant.WRITE_FOR_OPEN_REQUEST, waits, name)
+            and check(Invariant.WRITE_IN_TIME, now < request.deadline, name)
+            and check(Invariant.REPEAT_IF_SAFE, is_safe, name, f"{len(earlier)} earlier attempts")
+        )
+
+    def _trace_cancellation(self, name: str, reason: CancelReason) -> None:
+        self._trace.record(Step.ATTEMPT_CANCELLED, request=name, reason=reason.value)
+
     def _attempt_ended(self, dispatch: _Dispatch, ending: Ending) -> None:
         request, action = dispatch.request, dispatch.action
         request.in_flight -= 1
         name, outcome = action.request, ending.outcome
-        if outcome is not api.Outcome.SUCCESS:
+        dispatch.attempt.outcome = outcome
+        if self._trace.enabled:
+            self._trace.record(
+                Step.ATTEMPT_ENDED,
+                request=name,
+                attempt=dispatch.number,
+                outcome=outcome.name,
+                progress=ending.progress.name,
+                why=ending.why,
+            )
+        elif outcome is not api.Outcome.SUCCESS:
             _log.debug(
                 "attempt ended",
                 request=name,
--- a/frostfall/net/streams.py
+++ b/frostfall/net/streams.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import errno
 import fcntl
 import os
 import random
+import select
 import socket
 import struct
 import termios
@@ -18,7 +20,10 @@
 
 LISTEN_BACKLOG = 512  # connections: a burst while the one core is busy elsewhere
 CONNECT_TIMEOUT_SECONDS = 1.0  # to services; upstream servers have a timeout in the settings
-MAX_DISCARD_READS = 8  # of READ_MOST bytes: a peer that sends more unasked is not waited for
+SHORTAGE_PAUSE_SECONDS = 0.01  # before a call is made again for which the kernel had no memory
+LISTEN_PATIENCE_SECONDS = 5.0  # for a listening socket, while the machine is short of resources
+_LISTEN_SHORTAGES = (errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM)
+_SHORTAGES = (errno.ENOBUFS, errno.ENOMEM, errno.EINTR)  # of the machine: they say nothing of the connection
 _INT = struct.Struct("i")
 _SIOCOUTQ = termios.TIOCOUTQ  # bytes not acknowledged: tcp(7)
 _SIOCOUTQNSD = 0x894B  # bytes never sent: linux/sockios.h
@@ -106,19 +111,42 @@
             pass
         return False
 
+    @property
+    def has_input(self) -> bool:
+        """Whether bytes wait to be read; they stay unread."""
+        return self._queue_bytes(termios.FIONREAD) > 0
+
+    @property
+    def peer_has_closed(self) -> bool:
+        """Whether the peer has ended its side or reset the connection; nothing is read."""
+        poll = select.poll()
+        poll.register(self._raw, select.POLLRDHUP)
+        return bool(poll.poll(0))
+
+    async def wait_readable(self) -> None:
+        """Wait until there is something to read, or the end; other tasks run first."""
+        await anyio.wait_readable(self._raw)
+
+    def read(self, max_bytes: int = READ_MOST) -> bytes:
+        """What has come by now, or nothing. At the end of the stream, one of STREAM_ERRORS."""
+        try:
+            data = self._raw.recv(max_bytes)
+        except BlockingIOError:
+            return b""
+        except OSError as error:
+            if error.errno in _SHORTAGES:
+                return b""
+            raise anyio.BrokenResourceError from error
+        if not data:
+            raise anyio.EndOfStream
+        return data
+
     async def receive(self, max_bytes: int = READ_MOST) -> bytes:
         """Up to `max_bytes`, once there are any; other tasks run first. At the end, one of STREAM_ERRORS."""
         while True:
-            await anyio.wait_readable(self._raw)
-            try:
-                data = self._raw.recv(max_bytes)
-            except BlockingIOError:
-                continue
-            except OSError as error:
-                raise anyio.BrokenResourceError from error
-            if not data:
-                raise anyio.EndOfStream
-            return data
+            await self.wait_readable()
+            if data := self.read(max_bytes):
+                return data
 
     def write(self, data: bytes | bytearray | memoryview) -> int:
         """Write what the kernel takes without waiting; how many bytes that was."""
@@ -127,6 +155,8 @@
         except BlockingIOError:
             return 0
         except OSError as error:
+            if error.errno in _SHORTAGES:
+                return 0
             raise anyio.BrokenResourceError from error
 
     async def wait_writable(self) -> None:
@@ -138,19 +168,15 @@
         sent = self.write(data)
         while sent < len(data):
             await self.wait_writable()
-            sent += self.write(memoryview(data)[sent:])
-
-    def discard_input(self) -> None:
-        """Read and drop what has come by now, up to a bound: with input unread, a close is a reset."""
-        with suppress(OSError):
-            for _ in range(MAX_DISCARD_READS):
-                if len(self._raw.recv(READ_MOST)) < READ_MOST:
-                    return
+            written = self.write(memoryview(data)[sent:])
+            sent += written
+            if not written:
+                await anyio.sleep(SHORTAGE_PAUSE_SECONDS)
 
-    def shutdown_read(self) -> None:
-        """End the input behind what has come by now."""
+    def shutdown_write(self) -> None:
+        """End the output behind what was written; the peer reads all of it, and then the end."""
         with suppress(OSError):
-            self._raw.shutdown(socket.SHUT_RD)
+            self._raw.shutdown(socket.SHUT_WR)
 
     def close(self) -> None:
         """Close now; tasks that wait on the stream get ClosedResourceError."""
@@ -178,6 +204,18 @@
     return listener
 
 
+async def open_listener_patiently(address: Address) -> socket.socket:
+    """A listening socket, once the machine has the resources for it; OSError where that cannot be."""
+    give_up_at = anyio.current_time() + LISTEN_PATIENCE_SECONDS
+    while True:
+        try:
+            return open_listener(address)
+        except OSError as error:
+            if error.errno not in _LISTEN_SHORTAGES or anyio.current_time() >= give_up_at:
+                raise
+        await anyio.sleep(SHORTAGE_PAUSE_SECONDS)
+
+
 async def connect(address: Address) -> Stream:
     """A new connection; OSError where it is refused."""
     raw = create_socket(address)
--- a/frostfall/net/upstream_connection.py
+++ b/frostfall/net/upstream_connection.py
@@ -8,10 +8,11 @@
 import anyio
 
 from frostfall.config import Address
+from frostfall.interface import Outcome
 from frostfall.limits.shed_counter import ShedReason
 from frostfall.limits.slow_peer_detector import ConnectionProgress, SlowPeerDetector
 from frostfall.net.connection_monitor import TICK_SECONDS, ConnectionMonitor, MonitoredConnection
-from frostfall.net.streams import STREAM_ERRORS, Stream
+from frostfall.net.streams import SHORTAGE_PAUSE_SECONDS, STREAM_ERRORS, Stream
 from frostfall.protocol.ending import Ending, Progress
 from frostfall.protocol.pg_client import ClientSide, State
 
@@ -120,7 +121,10 @@
             if self.unwritten_bytes < len(data):
                 await self.stream.wait_writable()
             rest = memoryview(data)[-self.unwritten_bytes :]
-            self.unwritten_bytes -= self.stream.write(rest)
+            written = self.stream.write(rest)
+            self.unwritten_bytes -= written
+            if not written and self.unwritten_bytes:
+                await anyio.sleep(SHORTAGE_PAUSE_SECONDS)
         attempt.progress = Progress.WRITTEN
 
 
@@ -131,6 +135,8 @@
         """`on_degraded` is called once, if the server turns slow in the middle of this attempt."""
         self.class_name = class_name
         self.progress = Progress.NO_CONNECTION
+        self.written_at = 0  # microseconds of the clock, once its first byte may go out
+        self.outcome: Outcome | None = None  # once it has ended
         self.cancelled = False
         self.degraded = False
         self.stall_reason: ShedReason | None = None
--- a/frostfall/options.py
+++ b/frostfall/options.py
@@ -16,8 +16,15 @@
     from frostfall.group_options import GroupOptions
 
 
+class LoggingOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What the log holds beyond its level."""
+
+    requests: bool = False  # a line for each step of each request
+
+
 class Options(msgspec.Struct, frozen=True):
     """The checked content of an operator file; the defaults stand for none."""
 
     slow_peers: SlowPeerOptions | None = None
+    logging: LoggingOptions = LoggingOptions()
     group: GroupOptions | None = None
--- a/frostfall/protocol/pg_server.py
+++ b/frostfall/protocol/pg_server.py
@@ -91,6 +91,11 @@
         self._closed = True
         return Closed(pg.error_response("FATAL", "08P01", text or why.value), why)
 
+    def reject_partial(self) -> Closed:
+        """The end of a connection with a query half read, which was never accepted and so never ran."""
+        self._closed = True
+        return Closed(pg.error_response("FATAL", "57P03", "shutting down: try again elsewhere"))
+
     def _start(self) -> Event | None:
         packet = pg.next_startup(self._buffer)
         if packet is None:
@@ -133,6 +138,11 @@
     return pg.error_response("ERROR", "53300", "refused: try again", detail) + pg.READY
 
 
+def malformed(text: str) -> bytes:
+    """The answer to a query that cannot be served; those that were read behind it are answered too."""
+    return pg.error_response("ERROR", "08P01", text) + pg.READY
+
+
 def failed() -> bytes:
     """The answer that promises nothing."""
     return pg.error_response("ERROR", "58000", "failed: it may have taken effect") + pg.READY
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -222,6 +222,8 @@
 
         agent.requests.handle_query = faulty  # type: ignore[method-assign]
         await client.write(read("j1"))
+        # Danger: read and closed without an answer, the request would be lost.
+        assert code(await client.answer()) not in ("53300", "57P03")
         with pytest.raises(CLOSED):
             await client.reader.message()
         assert (await other.ask(read("j2")))[0] == b"D"
--- a/tests/test_net_client_connections.py
+++ b/tests/test_net_client_connections.py
@@ -148,6 +148,7 @@
             group.start_soon(trickle)
             for peer in (silent, welcomed, half):
                 assert b"C08P01" in await peer.rest()
+        await till(lambda: len(clients) <= 1)  # the clients see the end first: it goes out before the close
         assert anyio.current_time() - began < 2.9
         assert len(clients) == 1  # what has been served and is idle stays while there is room
         assert clients.malformed_counts[pg.Malformed.SILENT.value] >= 3
