--- a/frostfall/engine/policy_engine.py
+++ b/frostfall/engine/policy_engine.py
@@ -20,6 +20,7 @@
 from frostfall.policy.placement import PlacementPolicy
 from frostfall.policy.rollout_test import EXCHANGE_PERIOD, RolloutTest
 from frostfall.policy.routing import Routing
+from frostfall.policy.server_age import StartTimeEstimator
 from frostfall.policy.server_watch import WATCH
 from frostfall.records import PendingRequest, ServerState
 from frostfall.routing.outlier_ejection import OutlierEjections
@@ -40,7 +41,9 @@
         self.schedule = ExchangeSchedule(settings.agent, agents, EXCHANGE_PERIOD)
         self.shared_health = SharedHealth(agents, self.schedule.exchanges)
         self.exchange = PeerExchange(self.schedule, self.shared_health, max_chars=MESSAGE_SIZE)
-        self.server_list = ServerList(self.random, ejection=UNREACHABLE_EJECTION)
+        self.server_list = ServerList(
+            self.random, ejection=UNREACHABLE_EJECTION, start_times=StartTimeEstimator()
+        )
         renewal = settings.rules.watch_renewal_period
         self.watch = WatchSchedule(WATCH, agents=agents, renewal=renewal, source=self.random)
         self.statistics = FleetStatistics(STATISTICS, self.server_list)
--- a/frostfall/mechanisms/server_list.py
+++ b/frostfall/mechanisms/server_list.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from typing import Protocol
 
 from frostfall import interface as api
 from frostfall.interface import Availability, Microseconds, ServerListKind
@@ -12,20 +13,42 @@
 from frostfall.shared_health.server_health import ServerIncarnation
 
 
+class StartTimes(Protocol):
+    """Estimates when listed servers started, by this agent's clock."""
+
+    def begin_update(self, now: Microseconds, kind: ServerListKind) -> None:
+        """A list, or a change of one, is about to be taken over."""
+
+    def estimate(self, now: Microseconds, listed_start: Microseconds) -> Microseconds:
+        """When a server started that is listed for the first time now; 0: long ago."""
+
+
 class ServerList:
     """All listed servers by id, and those that are up in this agent's own random order."""
 
-    __slots__ = ("_ejection", "_random", "available", "by_id")
+    __slots__ = ("_ejection", "_random", "_start_times", "available", "by_id")
+
+    def __init__(
+        self,
+        source: random.Random,
+        *,
+        ejection: Callable[[], ExponentialBackoff],
+        start_times: StartTimes | None = None,
+    ) -> None:
+        """Start without servers; `ejection` makes the back-off of each server's ejections.
 
-    def __init__(self, source: random.Random, *, ejection: Callable[[], ExponentialBackoff]) -> None:
-        """Start without servers; `ejection` makes the back-off of each server's ejections."""
+        Without `start_times`, listed starts are taken for times of this agent's clock.
+        """
         self._random = source
         self._ejection = ejection
+        self._start_times = start_times
         self.by_id: dict[int, ServerState] = {}
         self.available: list[ServerState] = []
 
     def update(self, now: Microseconds, kind: ServerListKind, entries: tuple[api.Server, ...]) -> list[int]:
         """Take over a list or its changes; the ids of servers that left or that are new, or newly started."""
+        if self._start_times:
+            self._start_times.begin_update(now, kind)
         if kind is not ServerListKind.DELTA:
             listed = {entry.id for entry in entries}
             self.by_id = {id: server for id, server in self.by_id.items() if id in listed}
@@ -44,8 +67,16 @@
             return False
         # Agents together push a cold server over. By a random start, parts of a send add up.
         rank, credit = self._random.random(), self._random.random()
+        started_at = entry.started_at
+        if self._start_times:
+            started_at = self._start_times.estimate(now, entry.started_at)
         self.by_id[entry.id] = ServerState(
-            entry, self._ejection(), rank, warm_up_credit=credit, credit_updated_at=now
+            entry,
+            self._ejection(),
+            rank,
+            warm_up_credit=credit,
+            credit_updated_at=now,
+            started_at=started_at,
         )
         return True
 
--- a/frostfall/records.py
+++ b/frostfall/records.py
@@ -44,6 +44,7 @@
     checked_at: Microseconds = 0  # when a health check was sent
     warm_up_credit: float = 0.0  # sends that the warm-up budget allowed when it was last updated
     credit_updated_at: Microseconds = 0
+    started_at: Microseconds = 0  # by this agent's clock; 0: long ago
     shared_error_rate: float = 0.0  # recent share of failures by what all agents saw
 
     @property
@@ -53,7 +54,7 @@
 
     def age(self, now: Microseconds) -> Microseconds:
         """The time since its start."""
-        return now - self.info.started_at if self.info.started_at else UNKNOWN_AGE
+        return now - self.started_at if self.started_at else UNKNOWN_AGE
 
     def warmth(self, now: Microseconds, rules: api.Rules) -> float:
         """The least share of its full capacity that it can have while it warms up."""
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -26,3 +26,11 @@
     assert agent.engine.servers[2].age(agent.now) == 0
     assert agent.engine.servers[2].warmth(agent.now, SETTINGS.rules) < 1
     assert agent.may(1, SAFE)
+
+
+def test_a_server_restarted_by_a_machine_whose_clock_is_an_hour_behind_is_cold() -> None:
+    agent = Agent(SETTINGS, server(1, started=90 * S), server(2), build=1)
+    agent.listed(server(1, started=90 * S), server(2), kind=COMPLETE)
+    agent.advance(S)
+    agent.listed(server(1, started=agent.now - HOUR))
+    assert agent.engine.servers[1].age(agent.now) == 0
