--- a/frostfall/interface.py
+++ b/frostfall/interface.py
@@ -242,7 +242,6 @@
     | StreamStarted
     | AttemptEnded
     | ClientDisconnected
-    | AnswerDue
     | TimerFired
     | HealthCheckEnded
     | GossipReceived
@@ -250,6 +249,7 @@
     | BuildTally
     | AnswerDisputed
     | ServerDegraded
+    | AnswerDue
 )
 
 # ---- actions -----------------------------------------------------------------------------------
--- a/frostfall/options.py
+++ b/frostfall/options.py
@@ -26,5 +26,5 @@
     """The checked content of an operator file; the defaults stand for none."""
 
     slow_peers: SlowPeerOptions | None = None
-    logging: LoggingOptions = LoggingOptions()
     group: GroupOptions | None = None
+    logging: LoggingOptions = LoggingOptions()
