--- /dev/null
+++ b/frostfall/bench/fault_soak/plan.py
@@ -0,0 +1,155 @@
+"""The schedule of faults of one seed: drawn before anything starts, so that a seed always gives the same."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from enum import Enum
+
+FIRST_FAULT_SECONDS = 1.0
+SETTLE_SECONDS = 1.0  # without new faults, before the end
+FAULTS_A_SECOND = 2.0
+WALL_STEPS = (3600.0, -3600.0, 5.0, -5.0)  # seconds
+SYSTEM_CALL_SHARE = 0.05
+MANY_SERVERS = 2000
+
+
+class FaultKind(Enum):
+    """What happens; the comment names the target."""
+
+    TERMINATE = "SIGTERM, then a new start"  # agent
+    RESTARTS = "SIGTERM and a new start, several times in a row"  # agent
+    KILL = "SIGKILL, then a new start"  # agent
+    STALL = "SIGSTOP for a while"  # agent
+    RELOAD = "SIGHUP with a new address of discovery"  # agent
+    WALL_CLOCK = "a step of the wall clock"  # agent
+    SYSTEM_CALLS = "failing and short system calls"  # agent
+    CLIENT_LINK_HELD = "the link from clients held"  # agent
+    CLIENT_LINK_RESET = "the link from clients reset"  # agent
+    CLIENT_LINK_ONE_WAY = "the link from clients held in one direction"  # agent
+    DISCOVERY_LINK_CUT = "the link to discovery held"  # agent
+    ROLLOUT_LINK_CUT = "the link to the rollout API held"  # agent
+    SERVER_HANGS = "a server that answers nothing"  # server
+    SERVER_LATE = "a server that answers late"  # server
+    SERVER_TWICE = "a server that answers twice"  # server
+    SERVER_PIECES = "a server that answers in pieces"  # server
+    SERVER_RESETS = "a server that resets connections under requests"  # server
+    SERVER_FULL = "a server that turns requests away"  # server
+    SERVER_CLOSES_IDLE = "a server that closes idle connections"  # server
+    SERVER_DRAINS = "a server that drains, is removed and comes back"  # server
+    DISCOVERY_SLOW = "discovery answers late"
+    DISCOVERY_SILENT = "discovery answers nothing"
+    DISCOVERY_CROWDED = "discovery answers 503"
+    DISCOVERY_AWAY = "discovery resets every connection"
+    ROLLOUT_STAGE = "a new build goes on trial"
+    SILENT_CROWD = "many connections that say nothing"  # agent
+
+
+AGENT_FAULTS = (
+    FaultKind.TERMINATE,
+    FaultKind.TERMINATE,
+    FaultKind.RESTARTS,
+    FaultKind.KILL,
+    FaultKind.STALL,
+    FaultKind.STALL,
+    FaultKind.RELOAD,
+    FaultKind.WALL_CLOCK,
+    FaultKind.SYSTEM_CALLS,
+    FaultKind.CLIENT_LINK_HELD,
+    FaultKind.CLIENT_LINK_RESET,
+    FaultKind.CLIENT_LINK_ONE_WAY,
+    FaultKind.DISCOVERY_LINK_CUT,
+    FaultKind.ROLLOUT_LINK_CUT,
+    FaultKind.SILENT_CROWD,
+)
+SERVER_FAULTS = (
+    FaultKind.SERVER_HANGS,
+    FaultKind.SERVER_LATE,
+    FaultKind.SERVER_TWICE,
+    FaultKind.SERVER_PIECES,
+    FaultKind.SERVER_RESETS,
+    FaultKind.SERVER_FULL,
+    FaultKind.SERVER_CLOSES_IDLE,
+    FaultKind.SERVER_DRAINS,
+)
+SERVICE_FAULTS = (
+    FaultKind.DISCOVERY_SLOW,
+    FaultKind.DISCOVERY_SILENT,
+    FaultKind.DISCOVERY_CROWDED,
+    FaultKind.DISCOVERY_AWAY,
+    FaultKind.ROLLOUT_STAGE,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault of the schedule; times are seconds since its beginning."""
+
+    at: float
+    seconds: float  # how long it lasts, where it does
+    kind: FaultKind
+    target: int  # number of the agent or the server
+    amount: float = 0.0  # seconds of a clock's step; the number of a system call's fault
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """All that is drawn from a seed."""
+
+    seed: int
+    agents: int
+    seconds: float
+    servers: int
+    longest_deadline: float  # seconds
+    server_delays: tuple[float, ...]
+    first_wall_offsets: tuple[float, ...]  # of each agent's clock as it starts, in seconds
+    faults: tuple[Fault, ...]
+
+
+def draw(seed: int, agents: int, seconds: float) -> Plan:
+    """The plan of a seed."""
+    source = random.Random(f"fault-soak {seed}")
+    servers = MANY_SERVERS if source.random() < 0.1 else source.randint(6, 24)
+    quiet = source.random() < 0.2  # trouble begins after a long quiet time
+    first = seconds * 0.5 if quiet else FIRST_FAULT_SECONDS
+    count = max(int((seconds - first - SETTLE_SECONDS) * FAULTS_A_SECOND * (2 if quiet else 1)), 1)
+    faults = [_draw_fault(source, first, seconds - SETTLE_SECONDS, agents, servers) for _ in range(count)]
+    if source.random() < 0.3:  # one agent is hit by several at once
+        at, target = source.uniform(first, seconds - SETTLE_SECONDS), source.randrange(agents)
+        faults += [_draw_agent_fault(source, at + source.uniform(0.0, 0.3), target) for _ in range(3)]
+    return Plan(
+        seed=seed,
+        agents=agents,
+        seconds=seconds,
+        servers=servers,
+        longest_deadline=source.choice((1.0, 1.5, 2.0)),
+        server_delays=tuple(source.choice((0.01, 0.03, 0.03, 0.06, 0.2)) for _ in range(servers)),
+        first_wall_offsets=tuple(
+            source.choice(WALL_STEPS) if source.random() < 0.15 else 0.0 for _ in range(agents)
+        ),
+        faults=tuple(sorted(faults, key=lambda fault: fault.at)),
+    )
+
+
+def _draw_fault(source: random.Random, first: float, last: float, agents: int, servers: int) -> Fault:
+    at = source.uniform(first, max(last, first))
+    share = source.random()
+    if share < 0.55:
+        return _draw_agent_fault(source, at, source.randrange(agents))
+    if share < 0.85:
+        kind = source.choice(SERVER_FAULTS)
+        return Fault(at, source.uniform(0.2, 2.5), kind, source.randrange(servers))
+    return Fault(at, source.uniform(0.5, 4.0), source.choice(SERVICE_FAULTS), 0)
+
+
+def _draw_agent_fault(source: random.Random, at: float, target: int) -> Fault:
+    kind = source.choice(AGENT_FAULTS)
+    amount = 0.0
+    seconds = source.uniform(0.2, 2.0)
+    if kind is FaultKind.STALL:
+        seconds = source.uniform(0.02, 0.15) if source.random() < 0.7 else source.uniform(0.15, 1.0)
+    elif kind is FaultKind.WALL_CLOCK:
+        amount = source.choice(WALL_STEPS)
+    elif kind is FaultKind.SYSTEM_CALLS:
+        amount = float(source.randrange(7))
+    return Fault(at, seconds, kind, target, amount)
--- a/frostfall/bench/fault_soak/records.py
+++ b/frostfall/bench/fault_soak/records.py
@@ -1,4 +1,4 @@
-"""What clients and servers write down during a soak; the oracle reads nothing else of them."""
+"""What clients, servers and the schedule write down during a soak; the oracle reads nothing else."""
 
 from __future__ import annotations
 
@@ -27,16 +27,18 @@
 
     request_id: str
     agent: str
-    client_port: int
+    connection: int
     idempotency: Idempotency
     written_at: float
     wait_seconds: float
     is_duplicate_id: bool = False  # the client used an id that was in use
+    is_resend: bool = False  # the close of an earlier connection crossed it
     answers: list[AnswerKind] = field(default_factory=list)
     answered_at: float | None = None
     is_value_right: bool = True
     client_left_at: float | None = None  # before its answer
     connection_ended_at: float | None = None  # by the agent or the network, before its answer
+    network_broke: bool = False  # a fault of the network ended the connection
     reads_slowly: bool = False
 
     @property
@@ -45,6 +47,15 @@
         return self.written_at + self.wait_seconds
 
 
+@dataclass(frozen=True, slots=True)
+class HalfQueryRecord:
+    """A client that stopped in the middle of a query and stayed."""
+
+    agent: str
+    stopped_at: float
+    ended_at: float | None  # when it got an error or a close
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptRecord:
     """One attempt whose last byte a server has received."""
@@ -52,15 +63,75 @@
     request_id: str
     server: str
     received_at: float
-    agent_port: int
-    wait_seconds: float
     ran: bool  # False where the server turned it away unseen
 
 
-@dataclass(slots=True)
-class ServerListing:
-    """What discovery told of a server, and when it was told last."""
+@dataclass(frozen=True, slots=True)
+class ReadRecord:
+    """A query that an agent has read whole, by the preloaded library."""
 
+    request_id: str
+    agent: str
+    read_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class NotifiedRecord:
+    """Discovery has written a server's lifecycle to an agent."""
+
+    agent: str
     server: str
-    draining_since: float | None = None
-    removed_since: float | None = None
+    lifecycle: str
+    notified_at: float
+
+
+@dataclass(slots=True)
+class ProcessRecord:
+    """One life of an agent's process."""
+
+    agent: str
+    started_at: float
+    ready_at: float | None = None
+    terminated_at: float | None = None  # SIGTERM
+    killed_at: float | None = None  # SIGKILL, by the schedule
+    ended_at: float | None = None
+    exit_code: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Interval:
+    """A span in which one agent was held up, or its calls failed."""
+
+    agent: str
+    began_at: float
+    ended_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class ResourceRecord:
+    """What an agent uses before and after a soak."""
+
+    agent: str
+    descriptors_before: int
+    descriptors_after: int
+    memory_before: int  # bytes
+    memory_after: int  # bytes
+
+
+@dataclass(slots=True)
+class SoakRecords:
+    """All that was written down while one seed was played."""
+
+    requests: list[RequestRecord] = field(default_factory=list)
+    half_queries: list[HalfQueryRecord] = field(default_factory=list)
+    attempts: list[AttemptRecord] = field(default_factory=list)
+    reads: list[ReadRecord] = field(default_factory=list)
+    notified: list[NotifiedRecord] = field(default_factory=list)
+    processes: list[ProcessRecord] = field(default_factory=list)
+    stalls: list[Interval] = field(default_factory=list)
+    holds: list[Interval] = field(default_factory=list)  # of the links from clients
+    resources: list[ResourceRecord] = field(default_factory=list)
+    reported: list[str] = field(default_factory=list)  # errors that agents logged, violations among them
+    unexpected_answers: list[str] = field(default_factory=list)
+    largest_lag: float = 0.0  # seconds by which the stand-ins' own process was late at most
+    longest_deadline: float = 2.0  # of all classes, in seconds
--- /dev/null
+++ b/frostfall/bench/fault_soak/run.py
@@ -0,0 +1,100 @@
+"""Runs a range of seeds, some at a time, each in a process of its own, and reports what they gave."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor, as_completed
+from pathlib import Path
+from time import monotonic
+
+import anyio
+import msgspec
+
+from frostfall.bench.fault_soak import plan as plans
+from frostfall.bench.fault_soak import report, shim
+from frostfall.bench.fault_soak.oracle import Oracle
+from frostfall.bench.fault_soak.play import Soak
+from frostfall.bench.stage import ROOT
+
+EXTRA_SECONDS = 120.0  # beyond its schedule, until a seed is broken off
+MAX_TIMELINES = 10  # a seed
+
+
+def parse_seeds(text: str) -> list[int]:
+    """The seeds of `A-B`, or of `A` alone; ValueError where that cannot be read."""
+    first, _, last = text.partition("-")
+    seeds = list(range(int(first), int(last or first) + 1))
+    if not seeds:
+        raise ValueError(f"{text}: an empty range")
+    return seeds
+
+
+def play_seed(seed: int, agents: int, seconds: float, folder: Path) -> report.SeedResult:
+    """Play one seed in this process; its findings go to files of `folder`."""
+    plan = plans.draw(seed, agents, seconds)
+    folder.mkdir(parents=True)
+    began = monotonic()
+    soak = Soak(plan, folder / "agents")
+    records = anyio.run(soak.run)
+    findings = Oracle(records).findings()
+    for number, finding in enumerate(findings[:MAX_TIMELINES]):
+        path = folder / f"finding-{number}-{finding.rule.name.lower()}.txt"
+        path.write_text(report.timeline(plan, records, finding, soak.faults_began_at))
+    result = report.summarise(plan, records, findings, monotonic() - began, soak.faults_began_at)
+    (folder / "result.json").write_bytes(msgspec.json.encode(result))
+    return result
+
+
+def run(
+    seeds: list[int], agents: int, seconds: float, parallel: int, out: Path, echo: Callable[[str], None]
+) -> bool:
+    """Play all seeds; whether every target was met. A run that is broken off reports what it had."""
+    out.mkdir(parents=True, exist_ok=True)
+    shim.build()
+    results: list[report.SeedResult] = []
+    executor = ThreadPoolExecutor(parallel)
+    try:
+        futures = [executor.submit(_play_apart, seed, agents, seconds, out) for seed in seeds]
+        for future in as_completed(futures):
+            result = future.result()
+            results.append(result)
+            found = ", ".join(f"{name} {count}" for name, count in result.findings.items())
+            echo(
+                f"{len(results)}/{len(seeds)}: seed {result.seed}, {result.requests} requests, "
+                f"{result.error or found or 'nothing found'}"
+            )
+    except KeyboardInterrupt:
+        echo("broken off")
+    finally:
+        executor.shutdown(wait=False, cancel_futures=True)
+    results.sort(key=lambda result: result.seed)
+    reached = report.write(results, out, agents=agents, seconds=seconds)
+    echo(report.table([], reached))
+    return all(target.met for target in reached) and len(results) == len(seeds)
+
+
+def _play_apart(seed: int, agents: int, seconds: float, out: Path) -> report.SeedResult:
+    """Play one seed in a process of its own."""
+    folder = out / f"seed-{seed}"
+    arguments = [str(seed), str(agents), str(seconds), str(folder)]
+    failed = report.SeedResult(seed, seconds, 0)
+    try:
+        done = subprocess.run(
+            [sys.executable, "-m", "frostfall.bench.fault_soak.run", *arguments],
+            cwd=ROOT,
+            capture_output=True,
+            timeout=seconds * 3 + EXTRA_SECONDS,
+        )
+    except subprocess.TimeoutExpired:
+        failed.error = "not over in time"
+        return failed
+    if done.returncode or not (folder / "result.json").exists():
+        failed.error = done.stderr.decode(errors="replace")[-300:].strip() or f"ended with {done.returncode}"
+        return failed
+    return msgspec.json.decode((folder / "result.json").read_bytes(), type=report.SeedResult)
+
+
+if __name__ == "__main__":
+    play_seed(int(sys.argv[1]), int(sys.argv[2]), float(sys.argv[3]), Path(sys.argv[4]))
--- /dev/null
+++ b/frostfall/bench/fault_soak/servers.py
@@ -0,0 +1,106 @@
+"""Stand-in servers: they write down every attempt that has come whole, and go wrong as they are told."""
+
+from __future__ import annotations
+
+import re
+from enum import Enum
+from time import monotonic
+
+import anyio
+
+from frostfall.bench.fault_soak.records import AttemptRecord
+from frostfall.bench.peers import WELCOME, Reader, row, value_for
+from frostfall.net.streams import STREAM_ERRORS, Stream
+from frostfall.protocol import pg
+
+_ID = re.compile(rb"id=([0-9A-Za-z_.:-]+)")
+_SIZE = re.compile(rb"ref = 'size-(\d+)'")
+LATE_SECONDS = 0.8
+SECOND_ANSWER_SECONDS = 0.003
+PIECES = 5
+
+
+class ServerMode(Enum):
+    """How a server answers."""
+
+    USUAL = "usual"
+    HANGS = "hangs"
+    LATE = "late"
+    TWICE = "twice"
+    PIECES = "pieces"
+    RESETS = "resets"
+    FULL = "full"
+
+
+class StandInServer:
+    """One server; `attempts` is shared by all of them."""
+
+    def __init__(self, name: str, delay: float, attempts: list[AttemptRecord]) -> None:
+        """Answer after `delay` seconds."""
+        self.name = name
+        self.mode = ServerMode.USUAL
+        self._delay = delay
+        self._attempts = attempts
+        self._idle: set[Stream] = set()
+        self._recovered = anyio.Event()
+
+    async def play(self, mode: ServerMode, seconds: float) -> None:
+        """Go wrong for a while."""
+        self.mode = mode
+        await anyio.sleep(seconds)
+        self.mode = ServerMode.USUAL
+        self._recovered.set()
+        self._recovered = anyio.Event()
+
+    def close_idle(self) -> None:
+        """Close all connections on which no query is open."""
+        for stream in list(self._idle):
+            stream.close()
+
+    async def serve(self, stream: Stream) -> None:
+        """Serve one connection to its end."""
+        reader = Reader(stream)
+        try:
+            await reader.startup()
+            await stream.send(WELCOME)
+            while True:
+                self._idle.add(stream)
+                kind, payload = await reader.message()
+                self._idle.discard(stream)
+                if kind != b"Q":
+                    return
+                if not await self._query(stream, payload[:-1]):
+                    return
+        except (*STREAM_ERRORS, OSError, ValueError):  # closed by this server in the middle of a wait
+            pass
+        finally:
+            self._idle.discard(stream)
+
+    async def _query(self, stream: Stream, statement: bytes) -> bool:
+        """Answer one query; False where the connection is to end."""
+        match, size = _ID.search(statement), _SIZE.search(statement)
+        request_id = match[1].decode() if match else ""
+        mode = self.mode
+        ran = mode is not ServerMode.FULL
+        self._attempts.append(AttemptRecord(request_id, self.name, monotonic(), ran))
+        if mode is ServerMode.FULL:
+            await stream.send(pg.error_response("ERROR", "53300", "full") + pg.READY)
+            return True
+        if mode is ServerMode.RESETS:
+            stream.reset_on_close()
+            return False
+        await anyio.sleep(self._delay + (LATE_SECONDS if mode is ServerMode.LATE else 0.0))
+        while self.mode is ServerMode.HANGS:
+            await self._recovered.wait()
+        answer = row(value_for(request_id, int(size[1]) if size else 100)) + pg.READY
+        if mode is ServerMode.PIECES:
+            step = len(answer) // PIECES + 1
+            for start in range(0, len(answer), step):
+                await stream.send(answer[start : start + step])
+                await anyio.sleep(0.005)
+            return True
+        await stream.send(answer)
+        if mode is ServerMode.TWICE:
+            await anyio.sleep(SECOND_ANSWER_SECONDS)
+            await stream.send(answer)
+        return True
--- /dev/null
+++ b/frostfall/bench/fault_soak/services.py
@@ -0,0 +1,158 @@
+"""Stand-ins of discovery and of the rollout API, which go wrong as they are told."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass, field
+from enum import Enum
+from time import monotonic
+from typing import Any
+
+import anyio
+import msgspec
+
+from frostfall.bench.fault_soak.records import NotifiedRecord
+from frostfall.net.streams import Stream
+
+_CALL = re.compile(rb"GET /v1/servers(?:\?since=(\d+)&timeout_ms=(\d+))? HTTP")
+SLOW_SECONDS = 1.2
+CROWDED_SECONDS = 0.5
+PING_SECONDS = 1.0
+
+
+class DiscoveryMode(Enum):
+    """How discovery answers."""
+
+    USUAL = "usual"
+    SLOW = "slow"
+    SILENT = "silent"
+    CROWDED = "crowded"
+    AWAY = "away"
+
+
+@dataclass(slots=True)
+class Discovery:
+    """The list of servers, with its changes, for all agents; `notified` holds what each agent was written."""
+
+    notified: list[NotifiedRecord]
+    generation: int = 1
+    mode: DiscoveryMode = DiscoveryMode.USUAL
+    _entries: dict[str, dict[str, Any]] = field(default_factory=dict)
+    _changes: list[tuple[int, dict[str, Any]]] = field(default_factory=list)
+    _changed: anyio.Event = field(default_factory=anyio.Event)
+
+    def change(self, *entries: dict[str, Any]) -> None:
+        """Take over new states of servers."""
+        self.generation += 1
+        for entry in entries:
+            name = entry["instanceId"]
+            if entry["lifecycle"] == "terminated":
+                self._entries.pop(name, None)
+            else:
+                self._entries[name] = entry
+            self._changes.append((self.generation, entry))
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    def entry(self, name: str) -> dict[str, Any] | None:
+        """A server's entry as it is listed now."""
+        return self._entries.get(name)
+
+    def listing(self) -> dict[str, Any]:
+        """The complete list."""
+        return {"generation": self.generation, "reset": True, "instances": list(self._entries.values())}
+
+    async def play(self, mode: DiscoveryMode, seconds: float) -> None:
+        """Go wrong for a while."""
+        self.mode = mode
+        await anyio.sleep(seconds)
+        self.mode = DiscoveryMode.USUAL
+
+    async def serve(self, agent: str, stream: Stream) -> None:
+        """Answer the calls of one connection of this agent."""
+        data = b""
+        while True:
+            while b"\r\n\r\n" not in data:
+                data += await stream.receive()
+            head, _, data = data.partition(b"\r\n\r\n")
+            call = _CALL.match(head)
+            if call is None or self.mode is DiscoveryMode.AWAY:
+                stream.reset_on_close()
+                return
+            since = int(call[1]) if call[1] else None
+            if self.mode is DiscoveryMode.CROWDED:
+                await anyio.sleep(CROWDED_SECONDS)
+                await stream.send(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+                continue
+            await self._wait_for_change(since, int(call[2] or 0) / 1000)
+            if self.mode is DiscoveryMode.SLOW:
+                await anyio.sleep(SLOW_SECONDS)
+            while self.mode is DiscoveryMode.SILENT:
+                await anyio.sleep(0.05)
+            await self._answer(agent, stream, since)
+
+    async def _wait_for_change(self, since: int | None, seconds: float) -> None:
+        if since is not None and since >= self.generation:
+            with anyio.move_on_after(seconds):
+                await self._changed.wait()
+
+    async def _answer(self, agent: str, stream: Stream, since: int | None) -> None:
+        if since is None or since > self.generation:
+            answer = self.listing()
+        else:
+            latest = {entry["instanceId"]: entry for number, entry in self._changes if number > since}
+            answer = {"generation": self.generation, "reset": False, "instances": list(latest.values())}
+        body = msgspec.json.encode(answer)
+        head = f"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+        await stream.send(head.encode() + body)
+        now = monotonic()
+        for entry in answer["instances"]:
+            self.notified.append(NotifiedRecord(agent, entry["instanceId"], entry["lifecycle"], now))
+
+
+@dataclass(slots=True)
+class RolloutApi:
+    """The state of the newest build, told to whoever listens; votes are answered and move nothing."""
+
+    state: dict[str, Any]
+    _listeners: set[Stream] = field(default_factory=set)
+
+    async def change(self, **state: Any) -> None:
+        """Take over a new state and tell all listeners."""
+        self.state.update(state)
+        for stream in list(self._listeners):
+            await stream.send(_line(method="news", params=self.state))
+
+    async def serve(self, stream: Stream) -> None:
+        """Answer the calls of one connection."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._ping, stream)
+            try:
+                await self._answer_calls(stream)
+            finally:
+                self._listeners.discard(stream)
+                group.cancel_scope.cancel()
+
+    async def _answer_calls(self, stream: Stream) -> None:
+        data = b""
+        while True:
+            data += await stream.receive()
+            while b"\n" in data:
+                line, _, data = data.partition(b"\n")
+                call = msgspec.json.decode(line)
+                if call["method"] == "listen":
+                    self._listeners.add(stream)
+                    await stream.send(_line(id=call["id"], result=True))
+                    await stream.send(_line(method="news", params=self.state))
+                else:
+                    await stream.send(_line(id=call["id"], result=self.state))
+
+    async def _ping(self, stream: Stream) -> None:
+        while True:
+            await anyio.sleep(PING_SECONDS)
+            if stream in self._listeners:
+                await stream.send(_line(method="ping"))
+
+
+def _line(**fields: Any) -> bytes:
+    return msgspec.json.encode({"jsonrpc": "2.0", **fields}) + b"\n"
--- a/frostfall/cli/bench_commands.py
+++ b/frostfall/cli/bench_commands.py
@@ -140,6 +140,25 @@
     sys.exit(0 if found.clean else 1)
 
 
+@bench.command("fault-soak")
+@click.option("--seeds", default="1-10", show_default=True, help="A range of seeds, A-B.")
+@click.option("--agents", default=10, show_default=True, help="Agent processes a seed.")
+@click.option("--seconds", default=12.0, show_default=True, help="Length of the schedule of faults.")
+@click.option("--parallel", default=2, show_default=True, help="Seeds that are played at a time.")
+@out_option("Where the JSON, the table, the plot and the findings go; a new folder.")
+def fault_soak(seeds: str, agents: int, seconds: float, parallel: int, out: Path) -> None:
+    """Real agents under random faults that overlap; exit with 1 on a finding."""
+    import frostfall.bench.fault_soak.run as soak
+
+    if out.exists():
+        raise click.ClickException(f"{out}: there already")
+    try:
+        numbers = soak.parse_seeds(seeds)
+    except ValueError as error:
+        raise click.ClickException(f"--seeds: {error}") from None
+    sys.exit(0 if soak.run(numbers, agents, seconds, parallel, out, click.echo) else 1)
+
+
 @bench.command("variant")
 @click.argument("overrides", type=click.Path(dir_okay=False, path_type=Path))
 @click.argument("site", type=click.Path(dir_okay=False, path_type=Path))
--- a/frostfall/net/client_connections.py
+++ b/frostfall/net/client_connections.py
@@ -59,7 +59,7 @@
         """
         self.slow_peers = slow_peers or SlowPeerDetector[ClientConnection]()
         self.monitor = ConnectionMonitor() if monitor is None else monitor
-        self.pending_answers = pending_answers or PendingAnswers()
+        self.pending_answers = PendingAnswers() if pending_answers is None else pending_answers
         self.max_request_seconds = max_request_seconds
         self.malformed_counts = Counter[str]()  # rejected input by reason, since the last health line
         self.sockets = sockets
