--- a/frostfall/bench/fault_soak/links.py
+++ b/frostfall/bench/fault_soak/links.py
@@ -28,6 +28,11 @@
         """Begin to listen, at `address`."""
         self.address = listeners.open(self._link.serve)
 
+    @property
+    def is_held(self) -> bool:
+        """Whether anything that comes now is held."""
+        return bool(self._link.cut)
+
     @property
     def has_just_reset(self) -> bool:
         """Whether it has broken its connections a moment ago."""
--- a/frostfall/bench/fault_soak/services.py
+++ b/frostfall/bench/fault_soak/services.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from time import monotonic
@@ -68,8 +69,8 @@
         await anyio.sleep(seconds)
         self.mode = DiscoveryMode.USUAL
 
-    async def serve(self, agent: str, stream: Stream) -> None:
-        """Answer the calls of one connection of this agent."""
+    async def serve(self, agent: str, is_reachable: Callable[[], bool], stream: Stream) -> None:
+        """Answer the calls of one connection of this agent; `is_reachable`: the way back is not held."""
         data = b""
         while True:
             while b"\r\n\r\n" not in data:
@@ -89,14 +90,17 @@
                 await anyio.sleep(SLOW_SECONDS)
             while self.mode is DiscoveryMode.SILENT:
                 await anyio.sleep(0.05)
-            await self._answer(agent, stream, since)
+            if stream.peer_has_closed:  # the agent has moved on, and is told nothing here
+                return
+            await self._answer(agent if is_reachable() else None, stream, since)
 
     async def _wait_for_change(self, since: int | None, seconds: float) -> None:
         if since is not None and since >= self.generation:
             with anyio.move_on_after(seconds):
                 await self._changed.wait()
 
-    async def _answer(self, agent: str, stream: Stream, since: int | None) -> None:
+    async def _answer(self, agent: str | None, stream: Stream, since: int | None) -> None:
+        """Write a list; what an agent is notified of is written down, where it reaches the agent."""
         if since is None or since > self.generation:
             answer = self.listing()
         else:
@@ -106,6 +110,8 @@
         head = f"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
         await stream.send(head.encode() + body)
         now = monotonic()
+        if agent is None:
+            return
         for entry in answer["instances"]:
             self.notified.append(NotifiedRecord(agent, entry["instanceId"], entry["lifecycle"], now))
 
--- a/frostfall/net/client_connection.py
+++ b/frostfall/net/client_connection.py
@@ -13,6 +13,7 @@
 from frostfall.limits.shed_counter import ShedReason
 from frostfall.limits.slow_peer_detector import ConnectionProgress
 from frostfall.net.client_interfaces import ConnectionOwner, QueryHandler
+from frostfall.net.client_output import ClientOutput
 from frostfall.net.connection_monitor import MonitoredConnection
 from frostfall.net.reasons import CloseReason, RejectReason
 from frostfall.net.request_trace import Step
@@ -22,8 +23,6 @@
 
 IDLE_CLOSE_SECONDS = 2.0  # without an open request, a connection may be closed then, by the protocol
 CHECK_INTERVAL_SECONDS = 0.25  # between checks of a client that owes something or is owed something
-DELIVERY_POLL_SECONDS = 0.01  # between looks at whether the last bytes have reached the client
-CLOSE_LINGER_SECONDS = 0.25  # for a client whose next bytes crossed the end, to close first
 MAX_PENDING_OUTPUT_BYTES = 64 * 1024  # unwritten, beyond which a connection's next query is not looked at
 SMALL_BUFFER_BYTES = 8 * 1024  # a connection may always hold so much unread: little, for all together
 
@@ -61,9 +60,7 @@
         self._owner = owner
         self._machine = ServerSide()
         self._deficit = DeficitCounter(owner.slow_peers.options.turn)
-        self._output = bytearray()  # what the kernel has not taken yet
-        self._output_since = 0.0  # monitor's time since when there is output that waits
-        self._flushed = anyio.Event()
+        self._output = ClientOutput(stream, owner, lambda: owner.slow_peers.options.turn.size)
         self._answered = anyio.Event()
         self._pending = owner.pending_answers
         self._scope = anyio.CancelScope()
@@ -71,7 +68,6 @@
         self._processing = False
         self._disconnected = False  # the client has gone, or was given up
         self._closing = False  # the connection ends once its output is delivered
-        self._closing_since = 0.0
         self._close_reason: CloseReason | None = None  # why it is closing, or is to close once it is idle
         self._monitored_since = owner.monitor.now
         self._has_queried = False  # a whole query has come
@@ -87,7 +83,7 @@
                 with self._input_scope:
                     await self._read()
                 if self._closing:
-                    await self._deliver()
+                    await self._output.wait_delivered()
         finally:
             self._end()
 
@@ -189,6 +185,7 @@
 
     def cut_off(self) -> None:
         """End without waiting for a client that does not take its last bytes."""
+        self._pending.may_close(self)
         self._abort(CloseReason.SHUTDOWN)
 
     def shed(self, reason: ShedReason) -> None:
@@ -233,7 +230,7 @@
         """Whether output waits so long that nobody needs it; never where a minimum rate is set."""
         if self._owner.slow_peers.options.clients.reading_rate(self.progress.class_name):
             return False
-        return now - self._output_since > self._owner.max_request_seconds
+        return now - self._output.waiting_since > self._owner.max_request_seconds
 
     def _check_sending(self, now: float) -> float | None:
         """Judge a client that owes a query, or the rest of one; seconds until the next check, if any."""
@@ -293,14 +290,18 @@
         self.progress.bytes_written += len(data)
         if self._owner.slow_peers.watches_clients:
             self._owner.monitor.schedule(self, CHECK_INTERVAL_SECONDS)
-        if not self._output:
-            try:
-                data = data[self._stream.write(data) :]
-            except STREAM_ERRORS:
-                self._abort(CloseReason.BROKEN)
-                return
-        if data:
-            self._queue_output(data)
+        try:
+            must_flush = self._output.write(data)
+        except STREAM_ERRORS:
+            self._abort(CloseReason.BROKEN)
+            return
+        if must_flush:
+            self._owner.monitor.schedule(self, CHECK_INTERVAL_SECONDS)
+            self._owner.start_soon(self._flush)
+        if self._output and self._owner.slow_peers.options.waiting:
+            # At once: by the next check, many connections could have queued far more than the budget.
+            self._owner.slow_peers.record_buffered(self, self.source, len(self._output))
+            self._owner.enforce_buffer_limits(self)
 
     def _begin_closing(self, reason: CloseReason) -> None:
         """Read nothing more, and end the connection behind its output: the one place where closing begins.
@@ -313,47 +314,19 @@
         if not self._pending.may_close(self):
             self.answer(pg_server.failed())
         self._closing = True
-        self._closing_since = monotonic()
         self._close_reason = reason
         self._owner.mark_closing(self)
-        if not self._output:
-            self._stream.shutdown_write()
+        self._output.end()
         self._input_scope.cancel()
 
-    def _queue_output(self, data: bytes) -> None:
-        if not self._output:
-            self._output_since, self._flushed = self._owner.monitor.now, anyio.Event()
-            self._owner.monitor.schedule(self, CHECK_INTERVAL_SECONDS)
-            self._owner.start_soon(self._flush)
-        self._output += data
-        if self._owner.slow_peers.options.waiting:
-            # At once: by the next check, many connections could have queued far more than the budget.
-            self._owner.slow_peers.record_buffered(self, self.source, len(self._output))
-            self._owner.enforce_buffer_limits(self)
-
     async def _flush(self) -> None:
         try:
-            await self._flush_output()
-        except Exception:  # a fault in one connection must not end the others
-            self._end_after_fault()
-
-    async def _flush_output(self) -> None:
-        try:
-            while self._output and not self._disconnected:
-                await self._stream.wait_writable()
-                # By pieces: a large value written whole to one client would hold up all the others.
-                piece = self._output[: self._owner.slow_peers.options.turn.size]
-                if written := self._stream.write(piece):
-                    del self._output[:written]
-                    self._output_since = self._owner.monitor.now
-                else:  # writable, and yet nothing was taken: the kernel is short of memory
-                    await anyio.sleep(DELIVERY_POLL_SECONDS)
+            await self._output.flush()
+            await self._process_buffered()
         except STREAM_ERRORS:
             self._abort(CloseReason.BROKEN)
-        if self._closing:
-            self._stream.shutdown_write()
-        self._flushed.set()
-        await self._process_buffered()
+        except Exception:  # a fault in one connection must not end the others
+            self._end_after_fault()
 
     async def _process_buffered_aside(self) -> None:
         try:
@@ -367,28 +340,6 @@
         self._close_reason = CloseReason.FAULT
         self._scope.cancel()
 
-    async def _deliver(self) -> None:
-        """Wait until the output has reached the client, and a moment more for the client to close first."""
-        # A close with bytes unread is a reset, and output that the kernel still holds is lost with it.
-        while self._output and not self._disconnected:
-            await self._flushed.wait()
-        give_up_at = self._closing_since + self._owner.max_request_seconds
-        while self._stream.unacknowledged_bytes and monotonic() < give_up_at:
-            if self._stream.peer_has_closed:
-                return
-            # An acknowledgement may take 40 ms, in which a crowd would hold all descriptors; when full, bytes
-            # that were sent once are left to the network.
-            if self._disconnected or (self._owner.is_full and not self._stream.unsent_bytes):
-                return
-            await anyio.sleep(DELIVERY_POLL_SECONDS)
-        # Bytes that crossed the end of the output turn the close into a reset: a client is given time to read
-        # its last answer and to close first.
-        linger_until = min(monotonic() + CLOSE_LINGER_SECONDS, give_up_at)
-        while self._stream.has_input and not self._stream.peer_has_closed and monotonic() < linger_until:
-            if self._disconnected or self._owner.is_full:
-                return
-            await anyio.sleep(DELIVERY_POLL_SECONDS)
-
     # ---- input -------------------------------------------------------------------------------------
 
     async def _read(self) -> None:
@@ -427,7 +378,7 @@
 
     async def _wait_until_caught_up(self) -> None:
         if self._output:
-            await self._flushed.wait()
+            await self._output.wait_flushed()
         else:
             self._answered = anyio.Event()
             await self._answered.wait()
