--- a/frostfall/log.py
+++ b/frostfall/log.py
@@ -3,14 +3,33 @@
 from __future__ import annotations
 
 import sys
-from contextlib import AbstractContextManager
-from typing import Any
+from contextlib import AbstractContextManager, suppress
+from typing import Any, TextIO, cast
 
 import structlog
 
 LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
 
 
+class LossyOutput:
+    """A text stream whose failures are swallowed: a full disk or a closed pipe must not end what logs."""
+
+    def __init__(self, stream: TextIO) -> None:
+        """Write to this stream as long as it takes anything."""
+        self._stream = stream
+
+    def write(self, text: str) -> int:
+        """Write a line, or drop it."""
+        with suppress(OSError, ValueError):
+            return self._stream.write(text)
+        return 0
+
+    def flush(self) -> None:
+        """Hand on what was written, if that can be done."""
+        with suppress(OSError, ValueError):
+            self._stream.flush()
+
+
 def configure(level: str) -> None:
     """Log from this level on, for all agents of this process."""
     structlog.configure(
@@ -22,7 +41,7 @@
             structlog.processors.JSONRenderer(),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(file=cast(TextIO, LossyOutput(sys.stderr))),
         cache_logger_on_first_use=True,
     )
 
--- a/tests/test_answer_owner.py
+++ b/tests/test_answer_owner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import resource
 import signal
 import socket
 from pathlib import Path
@@ -268,6 +269,25 @@
         assert len(clients) == 1
 
 
+async def test_a_log_that_cannot_be_written_ends_nothing(tmp_path: Path) -> None:
+    appliance = Appliance()
+    async with listening(appliance) as address:
+        known = instance("s-1", address)
+        told = configured(known)
+        log = tmp_path / "log"
+        async with program(told, tmp_path / "config.json", known, log=log) as process:
+            size = log.stat().st_size  # its log may not grow from now on: each write fails
+            resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (size, size))
+            client = await Client.connect(told.listen)
+            process.send_signal(signal.SIGHUP)  # which is logged
+            await anyio.sleep(0.2)
+            assert (await client.ask(read("l1")))[0] == b"D"
+            process.send_signal(signal.SIGTERM)
+            with anyio.fail_after(LONG):
+                assert await anyio.to_thread.run_sync(process.wait) == 0
+            assert log.stat().st_size == size
+
+
 # ---- guards ----------------------------------------------------------------------------------------------
 
 
