--- a/frostfall/bench/fault_soak/play.py
+++ b/frostfall/bench/fault_soak/play.py
@@ -161,6 +161,7 @@
         """A new process is told the list as it stands."""
         config = msgspec.json.decode((agent.folder / "config.json").read_bytes())
         agent.configure(config | {"known": self._discovery.listing()})
+        self._discovery.note_complete_list(agent.name)
 
     # ---- play --------------------------------------------------------------------------------------
 
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -305,6 +305,23 @@
     assert found and found[0] is RecordState.OPEN
 
 
+@pytest.mark.anyio
+async def test_a_write_that_failed_once_does_not_end_unsafe_work_until_a_restart(tmp_path: Path) -> None:
+    disk = LogWriter(Broken(tmp_path), WriteAheadLog("a", SMALL))
+    await disk.open(lambda fact: None)
+    async with anyio.create_task_group() as group:
+        group.start_soon(disk.run)
+        assert await disk.wait_durable(put(disk.wal, "first")) is True
+        assert await disk.wait_durable(put(disk.wal, "at the fault")) is False
+        durable = False
+        for number in range(20):  # the fault is over: what comes from now on goes to a new segment
+            await anyio.sleep(0.05)
+            durable = durable or await disk.wait_durable(put(disk.wal, f"later {number}"))
+        group.cancel_scope.cancel()
+    assert durable
+    disk.directory.close()
+
+
 @pytest.mark.anyio
 async def test_a_folder_serves_one_process_at_a_time(tmp_path: Path) -> None:
     first, second = (LogWriter(SegmentDirectory(tmp_path), WriteAheadLog("a", SMALL)) for _ in range(2))
