--- a/frostfall/net/client_connection.py
+++ b/frostfall/net/client_connection.py
@@ -23,6 +23,7 @@
 
 IDLE_CLOSE_SECONDS = 2.0  # without an open request, a connection may be closed then, by the protocol
 CHECK_INTERVAL_SECONDS = 0.25  # between checks of a client that owes something or is owed something
+LEAVING_CHECK_SECONDS = 0.04  # between looks whether a client that is not read from has left
 MAX_PENDING_OUTPUT_BYTES = 64 * 1024  # unwritten, beyond which a connection's next query is not looked at
 SMALL_BUFFER_BYTES = 8 * 1024  # a connection may always hold so much unread: little, for all together
 
@@ -377,11 +378,15 @@
             self.begin_close(CloseReason.DRAINED)
 
     async def _wait_until_caught_up(self) -> None:
-        if self._output:
-            await self._output.wait_flushed()
-        else:
-            self._answered = anyio.Event()
-            await self._answered.wait()
+        """Wait for the answers of what was read ahead; the client's end may stand behind what is unread."""
+        with anyio.move_on_after(LEAVING_CHECK_SECONDS):
+            if self._output:
+                await self._output.wait_flushed()
+            else:
+                self._answered = anyio.Event()
+                await self._answered.wait()
+        if self._stream.peer_has_closed:
+            self._abort(CloseReason.CLIENT_LEFT)
 
     async def _process_buffered(self) -> None:
         """Handle the messages that have come, a turn's worth at a time."""
--- a/tests/test_answer_owner.py
+++ b/tests/test_answer_owner.py
@@ -20,7 +20,7 @@
 from frostfall.net.streams import LISTEN_BACKLOG, Stream
 from frostfall.policy import drain
 from frostfall.policy.repeat_safety import WrittenAttempt, may_repeat
-from frostfall.protocol import pg_server
+from frostfall.protocol import pg, pg_server
 from tests.standins import CLOSED, LONG, Appliance, Client, configured, instance, listening, read, write
 from tests.support import KEYED, SAFE, UNSAFE, S
 from tests.test_agent import code, program, serving, until
@@ -164,6 +164,21 @@
                 assert await anyio.to_thread.run_sync(process.wait) == 0
 
 
+async def test_a_client_that_leaves_behind_more_queries_than_are_read_ahead_is_missed_at_once() -> None:
+    async with serving_clients() as (clients, front, dial):
+        peer = await dial()
+        ahead = b"".join(query(read(f"a{number}")) for number in range(900))
+        assert len(ahead) > 1.5 * pg.READ_MOST
+        await peer.stream.send(ahead)
+        await till(lambda: front.taken)
+        peer.stream.close()
+        began = anyio.current_time()
+        # Danger: its end stands behind bytes that are not read before the queries ahead are answered.
+        await till(lambda: front.gone)
+        assert anyio.current_time() - began < 0.1
+        await till(lambda: not len(clients))
+
+
 # ---- faults of the program -------------------------------------------------------------------------------
 
 
