--- a/frostfall/net/agent.py
+++ b/frostfall/net/agent.py
@@ -289,7 +289,7 @@
 
     def _start_tasks(self, task_group: TaskGroup) -> None:
         if self._group_member:
-            task_group.start_soon(self._group_member.run, self._cached_list_read)
+            task_group.start_soon(self._run_group_member, self._group_member)
         loops: dict[str, Callable[[], Awaitable[None]]] = {
             "discovery": self.discovery.run,
             "timers": self._run_timers,
@@ -305,6 +305,13 @@
             task_group.start_soon(keep_running, name, loop)
         task_group.start_soon(self._shutdown.run)
 
+    async def _run_group_member(self, member: GroupMember) -> None:
+        try:
+            await member.run(self._cached_list_read)
+        except Exception:  # without its record this process may not go on, but it ends in good order
+            _log.exception("group member failed")
+            self.stop()
+
     async def _run_timers(self) -> None:
         await self._timers.run(lambda token: self.post(api.TimerFired(token)))
 
--- a/frostfall/net/client_connections.py
+++ b/frostfall/net/client_connections.py
@@ -28,7 +28,7 @@
 from frostfall.net.supervision import keep_running
 
 NEW_CONNECTION_GRACE_SECONDS = 0.05  # a usual client writes at once; until then it does not count as silent
-ACCEPT_PENDING_SECONDS = 0.3  # for those that the kernel has accepted as accepting ends, also in a crowd
+ACCEPT_PENDING_SECONDS = 0.6  # for those that the kernel has accepted as accepting ends, also in a crowd
 IDLE_CLOSE_FILL_FRACTION = 0.5  # of the bound: with more open, those that are idle for long are closed
 
 _log = log.get_logger("clients")
@@ -76,6 +76,7 @@
         self._connection_tasks: TaskGroup | None = None
         self._side_tasks: TaskGroup | None = None
         self._accepting: anyio.CancelScope | None = None
+        self._accepting_last: anyio.CancelScope | None = None  # what the kernel has accepted by the end
 
     def __len__(self) -> int:
         """How many connections are open."""
@@ -94,7 +95,7 @@
                     with anyio.CancelScope() as self._accepting:
                         await keep_running("accept", acceptor.run)
                     # What the kernel has accepted by now would be reset as the listener closes.
-                    with anyio.move_on_after(ACCEPT_PENDING_SECONDS):
+                    with anyio.move_on_after(ACCEPT_PENDING_SECONDS) as self._accepting_last:
                         await self._accept_pending(acceptor)
                     listener.close()
                 self._side_tasks.cancel_scope.cancel()
@@ -121,6 +122,8 @@
 
     def finish(self) -> None:
         """End every connection now, with a final answer to all that was read from it."""
+        if self._accepting_last:
+            self._accepting_last.cancel()
         for client in list(self._open):
             client.finish()
 
