--- a/frostfall/net/streams.py
+++ b/frostfall/net/streams.py
@@ -220,7 +220,8 @@
     """A new connection; OSError where it is refused."""
     raw = create_socket(address)
     try:
-        with suppress(BlockingIOError):
+        # Interrupted, it goes on coming up like any other.
+        with suppress(BlockingIOError, InterruptedError):
             raw.connect((address.host, address.port))
         await anyio.wait_writable(raw)
         if code := raw.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
--- a/frostfall/protocol/listing.py
+++ b/frostfall/protocol/listing.py
@@ -10,7 +10,7 @@
 
 from frostfall.protocol.buffer import Buffer
 
-BODY_MOST = 1024 * 1024  # bytes: some thousands of entries
+BODY_MOST = 4 * 1024 * 1024  # bytes: 3,200 entries take over 1 MiB where they come indented
 PATH = "/v1/servers"
 
 
--- a/tests/test_answer_owner.py
+++ b/tests/test_answer_owner.py
@@ -17,7 +17,7 @@
 from frostfall.net.client_acceptor import ClientAcceptor
 from frostfall.net.invariants import Invariant, InvariantMonitor
 from frostfall.net.reasons import CloseReason
-from frostfall.net.streams import LISTEN_BACKLOG, Stream
+from frostfall.net.streams import LISTEN_BACKLOG, Stream, connect
 from frostfall.policy import drain
 from frostfall.policy.repeat_safety import WrittenAttempt, may_repeat
 from frostfall.protocol import pg, pg_server
@@ -332,6 +332,25 @@
             assert log.stat().st_size == size
 
 
+async def test_a_connect_that_is_interrupted_goes_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    class Interrupted(socket.socket):
+        def connect(self, address: Any) -> None:
+            self.connect_ex(address)
+            raise InterruptedError(errno.EINTR, "interrupted")
+
+    async with listening(Appliance()) as address:
+        monkeypatch.setattr("frostfall.net.streams.create_socket", lambda _: _unblocked(Interrupted()))
+        stream = await connect(address)
+        await stream.send(pg.startup(user="web"))
+        assert await stream.receive()
+        stream.close()
+
+
+def _unblocked(raw: socket.socket) -> socket.socket:
+    raw.setblocking(False)
+    return raw
+
+
 # ---- guards ----------------------------------------------------------------------------------------------
 
 
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import random
 
 import pytest
@@ -158,3 +159,22 @@
 def test_a_load_report_that_says_nothing(text: str | None) -> None:
     load = entries.load(text)
     assert load is None or load.in_flight is None
+
+
+def test_an_indented_list_of_thousands_of_servers_is_read() -> None:
+    entry = {
+        "instanceId": "s-5be2a07c",
+        "hostPort": "10.101.112.118:15432",
+        "zone": "muenchen",
+        "machineType": "m2",
+        "cell": 3,
+        "lifecycle": "in_service",
+        "weight": 1.0,
+        "startedAtMs": 1_790_000_000_000,
+        "build": 41,
+    }
+    told = {"generation": 41, "reset": True, "instances": [entry] * 3200}
+    body = json.dumps(told, indent=4).encode()
+    assert len(body) > 1024 * 1024
+    answer = asked(None).feed(response(body))
+    assert isinstance(answer, Listing) and len(answer.instances) == 3200
