--- a/frostfall/model/simulation.py
+++ b/frostfall/model/simulation.py
@@ -58,12 +58,12 @@
             tasks.cancel_scope.cancel()
 
     async def _heal(self) -> None:
-        """Mend links and disks, and restart the members that need it."""
+        """Mend links and disks; members that were replaced start anew, and a log that failed recovers."""
         self._network.heal()
         for member in self._members.values():
             member.disk.clear_faults()
             incarnation = member.incarnation
-            if incarnation and (incarnation.program.wal.failure_reason or incarnation.replaced):
+            if incarnation and incarnation.replaced:
                 member.power_off()
         await anyio.sleep(RESTART_PAUSE)
         for member in self._members.values():
@@ -85,6 +85,8 @@
             self._begin(fault, member)
         await anyio.sleep(fault.duration)
         for member in members:
+            if fault.kind in (FaultKind.SYNC_FAILURE, FaultKind.DISK_FULL):
+                member.disk.clear_faults()
             member.power_on()
             if fault.kind is FaultKind.STALL:
                 await member.wait_until_running()
--- a/frostfall/net/log_writer.py
+++ b/frostfall/net/log_writer.py
@@ -25,6 +25,8 @@
 
 FIRST_READ_BYTES = 512  # holds most records; a longer one is read again with the maximum
 MAX_RECORD_READ_BYTES = 1 << 17
+MIN_RETRY_SECONDS = 0.1  # after a write that failed, doubling to ...
+MAX_RETRY_SECONDS = 5.0
 
 _SEGMENT_FILE_NAME = re.compile(r"(\d{10})\.seg\Z")
 _NO_FD = -1
@@ -147,7 +149,10 @@
         directory.sync_directory()
     directory.append(write.unsynced_data)
     for number in write.obsolete_segments:
-        directory.remove_segment(number)
+        try:
+            directory.remove_segment(number)
+        except OSError as error:  # the write is durable; a start removes what was left over
+            _log.warning("obsolete segment left over", segment=number, reason=str(error))
 
 
 class LogWriter:
@@ -170,6 +175,7 @@
         self._started_at = steady_clock()
         self._waiters: deque[tuple[int, Callable[[bool], None]]] = deque()  # in the order of their tickets
         self._wake = anyio.Event()
+        self._on_recovery: list[Callable[[], None]] = []
 
     @property
     def elapsed_seconds(self) -> float:
@@ -197,7 +203,8 @@
             self.is_open = True
 
     async def run(self) -> None:
-        """Execute the log's writes until cancelled."""
+        """Execute the log's writes until cancelled; after one that fails, again ever more slowly."""
+        pause = MIN_RETRY_SECONDS
         while True:
             self._wake = anyio.Event()
             write = self.wal.next_write(self.elapsed_seconds)
@@ -209,21 +216,30 @@
             except OSError as error:
                 self.wal.write_failed(f"segment {write.segment}: {error.strerror or error}")
                 _log.error(
-                    "write failed: no unsafe work is taken until a restart", why=self.wal.failure_reason
+                    "write failed: no unsafe work is taken until one succeeds", why=self.wal.failure_reason
                 )
-            else:
-                self.wal.write_synced()
-                self.commit_count += 1
+                self._notify_waiters()
+                await anyio.sleep(pause)
+                pause = min(pause * 2, MAX_RETRY_SECONDS)
+                self.wal.retry_failed()
+                continue
+            had_failed = bool(self.wal.failure_reason)
+            self.wal.write_synced()
+            self.commit_count += 1
+            pause = MIN_RETRY_SECONDS
             self._notify_waiters()
+            if had_failed:
+                _log.info("writes succeed again", segment=write.segment)
+                self._notify_recovered()
 
     def wake(self) -> None:
         """Have queued records written that nobody waits for."""
         self._wake.set()
 
     def when_durable(self, ticket: int, callback: Callable[[bool], None]) -> None:
-        """Call back with True once a ticket is durable, or with False once it cannot become so any more.
+        """Call back with True once a ticket is durable, or with False once a write fails before.
 
-        Tickets must not decrease from call to call.
+        What failed may become durable later: see `when_recovered`. Tickets must not decrease between calls.
         """
         if self.wal.failure_reason:
             callback(False)
@@ -234,7 +250,7 @@
             self._wake.set()
 
     async def wait_durable(self, ticket: int) -> bool:
-        """Wait until a ticket is durable; False where it cannot become so any more."""
+        """Wait until a ticket is durable; False where a write fails before."""
         outcome: list[bool] = []
         decided = anyio.Event()
 
@@ -246,6 +262,38 @@
         await decided.wait()
         return outcome[0]
 
+    def when_written(self, ticket: int, callback: Callable[[], None]) -> None:
+        """Call back once a ticket is durable, however many writes fail before."""
+
+        def on_durable(is_durable: bool) -> None:
+            if is_durable:
+                callback()
+            else:
+                self.when_recovered(lambda: self.when_written(ticket, callback))
+
+        self.when_durable(ticket, on_durable)
+
+    async def wait_written(self, ticket: int) -> None:
+        """Wait until a ticket is durable, however many writes fail before."""
+        written = anyio.Event()
+        self.when_written(ticket, written.set)
+        await written.wait()
+
+    def when_recovered(self, callback: Callable[[], None]) -> None:
+        """Call back once writes succeed again; all that was appended before is durable by then, or queued."""
+        if self.wal.failure_reason:
+            self._on_recovery.append(callback)
+        else:
+            callback()
+
+    def _notify_recovered(self) -> None:
+        callbacks, self._on_recovery = self._on_recovery, []
+        for callback in callbacks:
+            try:
+                callback()
+            except Exception:  # an error in the code behind one record must not keep the others from it
+                _log.exception("recovery callback failed")
+
     async def read_range(self, number: int, offset: int, size: int) -> bytes:
         """Read up to `size` bytes of a segment in a thread; raises OSError."""
         data: bytes = await self.run_blocking(self.directory.read_range, number, offset, size)
--- a/frostfall/net/operations/endings.py
+++ b/frostfall/net/operations/endings.py
@@ -35,9 +35,14 @@
             next_ticket = self._context.operation_log.end_durable(operation) if good else 0
             if next_ticket:
                 self._finish_when_durable(operation, next_ticket, answer)
-            elif answer is not None:
+                return
+            if answer is not None:
                 # After a disk failure the answer is still true, and whoever retries is told no less.
                 self._give_answer(operation, answer)
+            if not good:  # its record stays queued: the operation ends once that is written after all
+                self._context.disk.when_recovered(
+                    lambda: self._finish_when_durable(operation, ticket, answer=None)
+                )
 
         self._context.disk.when_durable(ticket, on_durable)
         self._context.disk.wake()
--- a/frostfall/net/recovery/incarnation.py
+++ b/frostfall/net/recovery/incarnation.py
@@ -48,8 +48,7 @@
             number = max(number, membership.incarnation_floor) + 1
             token = uuid4().hex[:TOKEN_CHARACTERS]
             ticket = self._core.metadata.append(IncarnationStarted(number, token))
-            if not await self._core.disk.wait_durable(ticket):
-                return
+            await self._core.disk.wait_written(ticket)
             membership.incarnation = number
             membership.incarnation_token = token
             inputs.incarnation_durable = True
--- a/frostfall/net/recovery/peer_records.py
+++ b/frostfall/net/recovery/peer_records.py
@@ -35,11 +35,8 @@
     def save_new(self, member: str, incarnation: Incarnation, stale_reason: str) -> None:
         """Record a member's new incarnation; it is acknowledged once that is durable."""
 
-        def on_durable(good: bool) -> None:
-            if good:
-                self._acknowledge(member, incarnation, stale_reason)
-
-        self._core.disk.when_durable(self.save(member, incarnation, stale_reason), on_durable)
+        ticket = self.save(member, incarnation, stale_reason)
+        self._core.disk.when_written(ticket, lambda: self._acknowledge(member, incarnation, stale_reason))
 
     def _acknowledge(self, member: str, incarnation: Incarnation, stale_reason: str) -> None:
         self._core.membership.mark_recorded(member, incarnation, stale_reason)
--- a/frostfall/net/recovery/record_completeness.py
+++ b/frostfall/net/recovery/record_completeness.py
@@ -135,12 +135,12 @@
     def save(self) -> int:
         """Append the present reason, or its absence, to the log; return the ticket."""
 
-        def on_durable(good: bool) -> None:
-            self.is_durable = good
+        def on_written() -> None:
+            self.is_durable = True
 
         self.is_durable = False
         ticket = self._core.metadata.append(RecordIncomplete(self.detail, self.consensus_excluded))
-        self._core.disk.when_durable(ticket, on_durable)
+        self._core.disk.when_written(ticket, on_written)
         return ticket
 
     def _set_reason(self, reason: IncompleteReason | None) -> None:
--- a/frostfall/net/recovery/vote_holds.py
+++ b/frostfall/net/recovery/vote_holds.py
@@ -72,13 +72,9 @@
             self._record_peer_hold(heartbeat.sender, theirs)
 
     def _record_peer_hold(self, member: str, hold: OperatorHold) -> None:
-        def on_durable(good: bool) -> None:
-            if good:
-                self._holds.restore(member, hold)
-
         record = VoteHold(hold.operator, bool(hold.operator), hold.serial, member)
         ticket = self._core.metadata.append(record)
-        self._core.disk.when_durable(ticket, on_durable)
+        self._core.disk.when_written(ticket, lambda: self._holds.restore(member, hold))
 
     async def wait_replicated(self) -> None:
         """Wait a moment for the other members to record the own hold."""
--- a/frostfall/net/replication.py
+++ b/frostfall/net/replication.py
@@ -256,10 +256,9 @@
         return StatusReply(message.request_id, statuses, self._members.incarnation_token, incarnation_tokens)
 
     async def _sync(self, ticket: int) -> None:
-        """Wait until a ticket is on disk; for ever where the disk has failed: it acknowledges nothing."""
+        """Wait until a ticket is on disk; while the disk fails, nothing is acknowledged."""
         self._disk.wake()
-        if not await self._disk.wait_durable(ticket):
-            await anyio.sleep_forever()
+        await self._disk.wait_written(ticket)
 
     # ---- fenced reads ---------------------------------------------------------------------------------
 
--- a/frostfall/storage/write_ahead_log.py
+++ b/frostfall/storage/write_ahead_log.py
@@ -58,6 +58,7 @@
     offsets: list[int]  # of the records in their segment
     last_ticket: int
     new_segment: SegmentInfo | None
+    taken: list[Record]  # of the records, those that were queued
 
 
 class WriteAheadLog:
@@ -77,13 +78,14 @@
         self.last_batch = 0  # handed to the driver
         self.last_durable_batch = 0
         self.durable_ticket = 0
-        self.failure_reason = ""  # why nothing can be written any more
+        self.failure_reason = ""  # why nothing becomes durable until a later write succeeds
         self.torn_bytes = 0  # of torn writes that the start found
         self.carried_records = carried_records
         self._queue: deque[Record] = deque()
         self._last_ticket = 0  # appended
         self._last_taken_ticket = 0  # handed to the driver
         self._in_flight: _WriteInFlight | None = None
+        self._retries_failure = False  # the next write is the one that may end a failure
         self._segments: dict[int, SegmentInfo] = {}
         self._current_segment = 0
         self._owns_current_segment = False  # started by this incarnation, so that it may append to it
@@ -207,10 +209,12 @@
     def next_write(self, elapsed: float) -> SegmentWrite | None:
         """Return the next write at `elapsed` seconds of running time.
 
-        None while there is nothing to write, while the previous write is not reported, and after a failure.
-        Raises LogStateError where the log was found unusable.
+        None while there is nothing to write, while the previous write is not reported, and after a failure
+        until `retry_failed`. Raises LogStateError where the log was found unusable.
         """
-        if self._in_flight or self.failure_reason or not (self._queue or self._has_retired_segments):
+        if self._in_flight or (self.failure_reason and not self._retries_failure):
+            return None
+        if not (self._queue or self._has_retired_segments or self._retries_failure):
             return None
         if not self.condition.is_usable:
             raise LogStateError(f"a log that is {self.condition.value} is not written to")
@@ -220,14 +224,15 @@
         if not self._owns_current_segment or self._is_segment_due(elapsed):
             new_segment = self._start_segment(write, elapsed)
             records += self.carried_records()
-        records += self._take_queued()
+        taken = self._take_queued()
+        records += taken
         self.last_batch += 1
         batch = segment_codec.encode_batch(self.last_batch, records)
         base = len(write.data) if new_segment else self._segments[self._current_segment].size
         write.data += batch.data
         write.unsynced_data = segment_codec.encode_frame(FrameKind.SYNCED, self.last_batch, b"")
         offsets = [base + offset for offset in batch.record_offsets]
-        self._in_flight = _WriteInFlight(write, records, offsets, self._last_taken_ticket, new_segment)
+        self._in_flight = _WriteInFlight(write, records, offsets, self._last_taken_ticket, new_segment, taken)
         return write
 
     def write_synced(self) -> None:
@@ -236,6 +241,8 @@
         if in_flight is None:
             raise LogStateError("no write is in flight")
         self._in_flight = None
+        self.failure_reason = ""
+        self._retries_failure = False
         write = in_flight.write
         if in_flight.new_segment:
             self._current_segment = write.segment
@@ -253,13 +260,27 @@
         self.durable_ticket = in_flight.last_ticket
 
     def write_failed(self, reason: str) -> None:
-        """Report that the write in flight may or may not be durable; nothing is written any more.
+        """Report that the write in flight may or may not be durable; nothing is written until `retry_failed`.
 
-        It must not be retried: after a failed sync the kernel may drop the dirty pages, and the next sync
-        would succeed without them.
+        It must not be synced again: after a failed sync the kernel may drop the dirty pages, and the next
+        sync would succeed without them. Its records stay queued, under their tickets, for a new segment; what
+        it may have left behind in the present one is cut off first.
         """
         self.failure_reason = reason
-        self._queue.clear()
+        self._retries_failure = False
+        in_flight, self._in_flight = self._in_flight, None
+        if in_flight is None:
+            return
+        self._queue.extendleft(reversed(in_flight.taken))
+        self._last_taken_ticket -= len(in_flight.taken)
+        self.last_batch -= 1
+        if in_flight.new_segment is None:
+            self._truncation = Truncation(self._current_segment, self._segments[self._current_segment].size)
+            self._owns_current_segment = False
+
+    def retry_failed(self) -> None:
+        """Let the next write begin a new segment, with all that has not become durable."""
+        self._retries_failure = True
 
     @property
     def _has_retired_segments(self) -> bool:
