--- a/tests/test_crossing_lists.py
+++ b/tests/test_crossing_lists.py
@@ -118,6 +118,26 @@
         group.cancel_scope.cancel()
 
 
+async def test_a_first_call_that_falls_silent_is_made_anew_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(driver, "RESPONSE_GRACE_SECONDS", 0.05)
+
+    async def answer(stream: ByteStream, count: int) -> bool:
+        if count == 1:
+            await anyio.sleep_forever()
+        await stream.send(response(41 + count))
+        return await anyio.sleep_forever() is None
+
+    service = Service(answer)
+    async with listening(service) as address, anyio.create_task_group() as group:
+        watched = Watched(address)
+        group.start_soon(watched.driver.run)
+        watched.driver.start_watch()
+        # Danger: taken for a failure, it waits for its turn, and what it missed counts as told before that.
+        await watched.until(lambda: watched.lists)
+        assert service.connections == 2 and watched.failures == 0
+        group.cancel_scope.cancel()
+
+
 @pytest.mark.parametrize("ask_within", [500_000, 2_000_000, 10_000_000, 60_000_000])
 async def test_a_silent_watch_is_opened_anew_a_second_before_its_news_counts_as_told(
     ask_within: int, monkeypatch: pytest.MonkeyPatch
