--- a/frostfall/net/discovery.py
+++ b/frostfall/net/discovery.py
@@ -89,16 +89,16 @@
 
     async def _run_calls(self, stream: Stream, scope: anyio.CancelScope) -> str | None:
         """Call after call on one connection; why the watch ended, or None where only the connection did."""
-        watch, answered = Watch(str(self._address)), False
+        watch = Watch(str(self._address))
         while True:
             answer = await self._call(stream, watch)
             if answer is None:
                 # A watch that has fallen silent is opened anew at once: a failure would wait for the next
-                # request to watch, and what was missed meanwhile counts as received.
-                return None if answered else "no answer in time"
+                # request to watch, and what was missed meanwhile counts as received. Its silence has lasted
+                # for seconds, so that discovery is not called more often for that.
+                return None
             if isinstance(answer, CallFailed):
                 return answer.why
-            answered = True
             # The answer may have been read just as the address changed. It still counts, but its generation
             # is the old service's, and of the new one the complete list is wanted.
             moved = scope.cancel_called
