--- a/frostfall/bench/fault_soak/clients.py
+++ b/frostfall/bench/fault_soak/clients.py
@@ -11,7 +11,7 @@
 from enum import Enum
 from itertools import count
 from time import monotonic
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 import anyio
 
@@ -60,27 +60,34 @@
     unsafe_share: float = 0.3
 
 
-class Front(Protocol):
+class ChosenAgent(NamedTuple):
+    """An agent, and where a client reaches it."""
+
+    name: str
+    address: Address
+
+
+class AgentDirectory(Protocol):
     """Deals out agents to clients, and knows what the schedule does to their connections."""
 
-    def choose(self, source: random.Random) -> tuple[str, Address] | None:
-        """An agent that takes connections, and where this client reaches it."""
+    def choose(self, source: random.Random) -> ChosenAgent | None:
+        """An agent that takes connections."""
 
     def was_broken(self, agent: str) -> bool:
         """Whether the network or a SIGKILL ends connections to this agent now."""
 
 
-class OneAgent:
-    """A front with a single agent, and no faults."""
+class SingleAgent:
+    """A directory with a single agent, and no faults."""
 
     def __init__(self, agent: str, address: Address) -> None:
         """Always deal out this one."""
         self._agent = agent
         self._address = address
 
-    def choose(self, _: random.Random) -> tuple[str, Address]:
+    def choose(self, _: random.Random) -> ChosenAgent:
         """The agent."""
-        return self._agent, self._address
+        return ChosenAgent(self._agent, self._address)
 
     def was_broken(self, _: str) -> bool:
         """Never."""
@@ -94,16 +101,16 @@
         self,
         name: str,
         behaviour: Behaviour,
-        front: Front,
+        directory: AgentDirectory,
         records: SoakRecords,
         seed: int,
         options: ClientOptions | None = None,
     ) -> None:
-        """Ask the agents that `front` deals out, one after another where they end connections."""
+        """Ask the agents that `directory` deals out, one after another where they end connections."""
         self.name = name
         self.behaviour = behaviour
         self.stopping = False
-        self._front = front
+        self._directory = directory
         self._records = records
         self._random = random.Random(f"{seed} {name}")
         self._options = options or ClientOptions()
@@ -124,13 +131,13 @@
                 await self._resend(record, value)
 
     async def _connect(self) -> _Connection | None:
-        chosen = self._front.choose(self._random)
+        chosen = self._directory.choose(self._random)
         if chosen is None:
             return None
         agent, address = chosen
         try:
             return await _Connection.open(
-                agent, address, self.behaviour, self._records, lambda: self._front.was_broken(agent)
+                agent, address, self.behaviour, self._records, lambda: self._directory.was_broken(agent)
             )
         except (OSError, *STREAM_ERRORS):
             return None
@@ -159,7 +166,7 @@
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(connection.read)
-                await connection.ask(again, value)
+                await connection.send_request(again, value)
                 await connection.wait_answered(left + ANSWER_SLACK_SECONDS)
                 group.cancel_scope.cancel()
         finally:
@@ -199,7 +206,7 @@
         await connection.send(text[: self._random.randint(1, len(text) - 1)])
         stopped_at = monotonic()
         await connection.wait_ended(HALF_QUERY_PATIENCE_SECONDS)
-        if not self._front.was_broken(connection.agent) and not self.stopping:
+        if not self._directory.was_broken(connection.agent) and not self.stopping:
             ended_at = monotonic() if connection.ended.is_set() else None
             self._records.half_queries.append(HalfQueryRecord(connection.agent, stopped_at, ended_at))
 
@@ -221,7 +228,7 @@
             reads_slowly=is_slow,
         )
         size = LARGE_VALUE_BYTES if is_slow else VALUE_BYTES
-        await connection.ask(record, value_for(record.request_id, size))
+        await connection.send_request(record, value_for(record.request_id, size))
 
 
 class _Connection:
@@ -277,7 +284,7 @@
             raw.close()
             raise
 
-    async def ask(self, record: RequestRecord, value: bytes) -> None:
+    async def send_request(self, record: RequestRecord, value: bytes) -> None:
         """Write one query, of which `value` is the right answer."""
         is_unsafe = record.idempotency is Idempotency.NON_IDEMPOTENT
         text = statement(
--- a/frostfall/bench/fault_soak/plan.py
+++ b/frostfall/bench/fault_soak/plan.py
@@ -24,9 +24,9 @@
     RELOAD = "SIGHUP with a new address of discovery"  # agent
     WALL_CLOCK = "a step of the wall clock"  # agent
     SYSTEM_CALLS = "failing and short system calls"  # agent
-    CLIENT_LINK_HELD = "the link from clients held"  # agent
+    CLIENT_LINK_PAUSED = "the link from clients held"  # agent
     CLIENT_LINK_RESET = "the link from clients reset"  # agent
-    CLIENT_LINK_ONE_WAY = "the link from clients held in one direction"  # agent
+    CLIENT_LINK_PAUSED_BACK = "the link from clients held in one direction"  # agent
     DISCOVERY_LINK_CUT = "the link to discovery held"  # agent
     ROLLOUT_LINK_CUT = "the link to the rollout API held"  # agent
     SERVER_HANGS = "a server that answers nothing"  # server
@@ -40,9 +40,9 @@
     DISCOVERY_SLOW = "discovery answers late"
     DISCOVERY_SILENT = "discovery answers nothing"
     DISCOVERY_CROWDED = "discovery answers 503"
-    DISCOVERY_AWAY = "discovery resets every connection"
+    DISCOVERY_RESETS = "discovery resets every connection"
     ROLLOUT_STAGE = "a new build goes on trial"
-    SILENT_CROWD = "many connections that say nothing"  # agent
+    SILENT_CONNECTIONS = "many connections that say nothing"  # agent
 
 
 AGENT_FAULTS = (
@@ -55,12 +55,12 @@
     FaultKind.RELOAD,
     FaultKind.WALL_CLOCK,
     FaultKind.SYSTEM_CALLS,
-    FaultKind.CLIENT_LINK_HELD,
+    FaultKind.CLIENT_LINK_PAUSED,
     FaultKind.CLIENT_LINK_RESET,
-    FaultKind.CLIENT_LINK_ONE_WAY,
+    FaultKind.CLIENT_LINK_PAUSED_BACK,
     FaultKind.DISCOVERY_LINK_CUT,
     FaultKind.ROLLOUT_LINK_CUT,
-    FaultKind.SILENT_CROWD,
+    FaultKind.SILENT_CONNECTIONS,
 )
 SERVER_FAULTS = (
     FaultKind.SERVER_HANGS,
@@ -76,7 +76,7 @@
     FaultKind.DISCOVERY_SLOW,
     FaultKind.DISCOVERY_SILENT,
     FaultKind.DISCOVERY_CROWDED,
-    FaultKind.DISCOVERY_AWAY,
+    FaultKind.DISCOVERY_RESETS,
     FaultKind.ROLLOUT_STAGE,
 )
 
--- a/frostfall/bench/fault_soak/records.py
+++ b/frostfall/bench/fault_soak/records.py
@@ -129,7 +129,7 @@
     notified: list[NotifiedRecord] = field(default_factory=list)
     processes: list[ProcessRecord] = field(default_factory=list)
     stalls: list[Interval] = field(default_factory=list)
-    holds: list[Interval] = field(default_factory=list)  # of the links from clients
+    link_pauses: list[Interval] = field(default_factory=list)  # of the links from clients
     resources: list[ResourceRecord] = field(default_factory=list)
     reported: list[str] = field(default_factory=list)  # errors that agents logged, violations among them
     unexpected_answers: list[str] = field(default_factory=list)
--- a/frostfall/bench/fault_soak/services.py
+++ b/frostfall/bench/fault_soak/services.py
@@ -29,7 +29,7 @@
     SLOW = "slow"
     SILENT = "silent"
     CROWDED = "crowded"
-    AWAY = "away"
+    RESETTING = "resetting"
 
 
 @dataclass(slots=True)
@@ -78,7 +78,7 @@
                 data += await stream.receive()
             head, _, data = data.partition(b"\r\n\r\n")
             call = _CALL.match(head)
-            if call is None or self.mode is DiscoveryMode.AWAY:
+            if call is None or self.mode is DiscoveryMode.RESETTING:
                 stream.reset_on_close()
                 return
             since = int(call[1]) if call[1] else None
