--- a/frostfall/bench/fault_soak/servers.py
+++ b/frostfall/bench/fault_soak/servers.py
@@ -17,6 +17,8 @@
 _SIZE = re.compile(rb"ref = 'size-(\d+)'")
 LATE_SECONDS = 0.8
 SECOND_ANSWER_SECONDS = 0.003
+# On a busy machine this process may wake up later; what comes then belongs to the next query, by the protocol.
+LATEST_SECOND_ANSWER_SECONDS = 0.012
 PIECES = 5
 
 
@@ -101,6 +103,8 @@
             return True
         await stream.send(answer)
         if mode is ServerMode.TWICE:
+            sent_at = monotonic()
             await anyio.sleep(SECOND_ANSWER_SECONDS)
-            await stream.send(answer)
+            if monotonic() - sent_at < LATEST_SECOND_ANSWER_SECONDS:
+                await stream.send(answer)
         return True
