--- a/frostfall/bench/fault_soak/servers.py
+++ b/frostfall/bench/fault_soak/servers.py
@@ -17,7 +17,7 @@
 _SIZE = re.compile(rb"ref = 'size-(\d+)'")
 LATE_SECONDS = 0.8
 SECOND_ANSWER_SECONDS = 0.003
-# On a busy machine this process may wake up later; what comes then belongs to the next query, by the protocol.
+# On a busy machine this process may wake up later; what comes then is the next query's, by the protocol.
 LATEST_SECOND_ANSWER_SECONDS = 0.012
 PIECES = 5
 
