--- /dev/null
+++ b/frostfall/bench/fault_soak/datagrams.py
@@ -0,0 +1,76 @@
+"""A relay of the datagrams between agents: it loses, doubles and delays some, or all of one agent's."""
+
+from __future__ import annotations
+
+import random
+import socket
+from contextlib import suppress
+
+import anyio
+from anyio.abc import TaskGroup
+
+from frostfall.bench.fault_soak.crowd import DatagramFaults
+from frostfall.config import Address
+
+HOST = "127.0.0.1"
+MAX_BYTES = 2048  # of a datagram; agents send far less
+
+
+class DatagramRelay:
+    """Has one socket for each agent, by which all others know it."""
+
+    def __init__(
+        self, faults: DatagramFaults, source: random.Random, listening: list[Address], group: TaskGroup
+    ) -> None:
+        """Relay between agents that listen at these addresses, in this group; `source` draws the faults."""
+        self._faults = faults
+        self._random = source
+        self._listening = listening
+        self._numbers = {address: number for number, address in enumerate(listening)}
+        self._sockets = [_open_socket() for _ in listening]
+        self._group = group
+        for receiver in range(len(listening)):
+            group.start_soon(self._serve, receiver)
+
+    @property
+    def addresses(self) -> list[Address]:
+        """Where the relay listens for each agent."""
+        return [Address(*each.getsockname()) for each in self._sockets]
+
+    async def _serve(self, receiver: int) -> None:
+        """Pass on what is sent to one agent."""
+        with self._sockets[receiver] as own:
+            while True:
+                await anyio.wait_readable(own)
+                with suppress(BlockingIOError, ConnectionError):  # an agent that is down refuses datagrams
+                    data, source = own.recvfrom(MAX_BYTES)
+                    self._pass_on(self._numbers.get(Address(*source)), receiver, data)
+
+    def _pass_on(self, sender: int | None, receiver: int, data: bytes) -> None:
+        if sender is None or sender == self._faults.silent_agent:
+            return
+        if self._random.random() < self._faults.lost_share:
+            return
+        copies = 2 if self._random.random() < self._faults.doubled_share else 1
+        is_late = self._random.random() < self._faults.late_share
+        for _ in range(copies):
+            if is_late:
+                self._group.start_soon(self._send_late, sender, receiver, data)
+            else:
+                self._send(sender, receiver, data)
+
+    async def _send_late(self, sender: int, receiver: int, data: bytes) -> None:
+        await anyio.sleep(self._faults.late_seconds)
+        self._send(sender, receiver, data)
+
+    def _send(self, sender: int, receiver: int, data: bytes) -> None:
+        target = self._listening[receiver]
+        with suppress(BlockingIOError, ConnectionError):  # as lost
+            self._sockets[sender].sendto(data, (target.host, target.port))
+
+
+def _open_socket() -> socket.socket:
+    opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    opened.setblocking(False)
+    opened.bind((HOST, 0))
+    return opened
--- a/frostfall/bench/fault_soak/records.py
+++ b/frostfall/bench/fault_soak/records.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+ALL_AGENTS = ""  # as the agent of an interval that concerns all of them
+
 
 class AnswerKind(Enum):
     """What a final answer says, by the protocol's table."""
@@ -85,6 +87,15 @@
     notified_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class ListChangeRecord:
+    """Discovery has a new state of a server, whether or not it has told anybody."""
+
+    server: str
+    lifecycle: str
+    listed_at: float
+
+
 @dataclass(slots=True)
 class ProcessRecord:
     """One life of an agent's process."""
@@ -94,6 +105,7 @@
     ready_at: float | None = None
     terminated_at: float | None = None  # SIGTERM
     killed_at: float | None = None  # SIGKILL, by the schedule
+    drain_ended_at: float | None = None  # SIGKILL at the earliest moment after SIGTERM; it excuses nothing
     ended_at: float | None = None
     exit_code: int | None = None
 
@@ -127,6 +139,8 @@
     attempts: list[AttemptRecord] = field(default_factory=list)
     reads: list[ReadRecord] = field(default_factory=list)
     notified: list[NotifiedRecord] = field(default_factory=list)
+    list_changes: list[ListChangeRecord] = field(default_factory=list)
+    unreachable: list[Interval] = field(default_factory=list)  # discovery, by the agent's name or ALL_AGENTS
     processes: list[ProcessRecord] = field(default_factory=list)
     stalls: list[Interval] = field(default_factory=list)
     link_pauses: list[Interval] = field(default_factory=list)  # of the links from clients
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -19,6 +19,7 @@
     HalfQueryRecord,
     Idempotency,
     Interval,
+    ListChangeRecord,
     NotifiedRecord,
     ProcessRecord,
     ReadRecord,
@@ -136,6 +137,36 @@
     assert [finding.rule for finding in Oracle(records).findings()] == [Rule.LOST]
 
 
+@pytest.mark.parametrize(
+    ("listed_at", "outages", "is_found"),
+    [
+        (3.0, [], True),
+        (4.0, [], False),
+        (3.0, [Interval("", 2.0, 5.0)], False),  # counted from when discovery is back
+        (1.0, [Interval("", 0.5, 3.0)], True),
+        (3.0, [Interval("n1", 2.0, 5.0)], True),  # another agent's
+        (1.0, [Interval("n0", 6.5, 6.9)], False),  # six seconds without a gap are counted
+    ],
+)
+def test_a_change_counts_as_known_six_seconds_after_discovery_could_be_reached(
+    listed_at: float, outages: list[Interval], is_found: bool
+) -> None:
+    records = clean()
+    records.list_changes = [ListChangeRecord("s-0", "terminating", listed_at)]
+    records.unreachable = outages
+    found = [finding.rule for finding in Oracle(records).findings()]
+    assert found == ([Rule.FORWARDED_PAST_GRACE] if is_found else [])
+
+
+def test_a_server_that_is_back_in_service_is_no_breach() -> None:
+    records = clean()
+    records.list_changes = [
+        ListChangeRecord("s-0", "terminated", 1.0),
+        ListChangeRecord("s-0", "in_service", 9.0),
+    ]
+    assert Oracle(records).findings() == []
+
+
 def test_the_time_in_which_an_agent_is_stopped_does_not_count() -> None:
     records = clean()
     records.requests = [served(answered_at=11.9)]
@@ -150,6 +181,16 @@
     assert kinds == set(plan.FaultKind)
 
 
+def test_one_seed_in_five_is_a_crowd_that_restarts_after_servers_changed_in_an_outage() -> None:
+    crowds = [drawn.crowd for seed in range(50) if (drawn := plan.draw(seed, 30, 8.0)).crowd]
+    assert len(crowds) == 10
+    for crowd in crowds:
+        back_at = crowd.outage_at + crowd.outage_seconds
+        assert all(crowd.outage_at < change.at < back_at for change in crowd.changes)
+        assert crowd.restart_at > back_at and len(crowd.restarted) == 21
+    assert plan.draw(5, 30, 8.0) == plan.draw(5, 30, 8.0)
+
+
 def test_the_library_steps_the_wall_clock_alone_and_lets_calls_fail(tmp_path: Path) -> None:
     shim = FaultShim(tmp_path)
     shim.step_wall_clock(-3600)
