--- a/frostfall/engine/policy_engine.py
+++ b/frostfall/engine/policy_engine.py
@@ -8,15 +8,18 @@
 
 from frostfall import interface as api
 from frostfall.engine.request_lifecycle import RequestLifecycle
-from frostfall.interface import Microseconds, Outcome, ServerListKind, VoteReply
+from frostfall.gossip import list_messages
+from frostfall.interface import Microseconds, Outcome, ServerListKind, VoteReply, WatchInterruption
 from frostfall.mechanisms.fleet_statistics import FleetStatistics
 from frostfall.mechanisms.mixing import ExchangeSchedule
 from frostfall.mechanisms.peer_exchange import PeerExchange
 from frostfall.mechanisms.sequential_test import SequentialTest
 from frostfall.mechanisms.server_list import ServerList
 from frostfall.mechanisms.watch_schedule import WatchSchedule
+from frostfall.policy.endpoint_lease import LeaseState
 from frostfall.policy.guards import AttemptGuards
 from frostfall.policy.learning import STATISTICS, UNREACHABLE_EJECTION, Learning
+from frostfall.policy.list_gossip import ListGossip
 from frostfall.policy.placement import PlacementPolicy
 from frostfall.policy.rollout_test import EXCHANGE_PERIOD, RolloutTest
 from frostfall.policy.routing import Routing
@@ -50,6 +53,9 @@
         self.rollout_test = RolloutTest(settings, self.schedule, self.shared_health, self.statistics)
         self.learning = Learning(self.statistics, self.shared_health)
         self.guards = AttemptGuards(settings, self.server_list, self.statistics, self.rollout_test)
+        self.lease = self.guards.lease
+        gossip_source = random.Random(f"list gossip {seed}")
+        self.list_gossip = ListGossip(settings, self.server_list, self.lease, gossip_source)
         self.routing = Routing(settings, self.random, self.guards)
         self.placement = PlacementPolicy(settings, self.random, self.routing)
         self.admission = self.placement.admission
@@ -60,6 +66,7 @@
             api.TimerFired: self._timer_fired,
             api.GossipReceived: self._gossip_received,
             api.ServerListUpdated: self._server_list_updated,
+            api.WatchInterrupted: self._watch_interrupted,
             api.RolloutState: self._rollout_moved,
             api.HealthCheckEnded: self._health_check_ended,
             api.AnswerDisputed: self._answer_disputed,
@@ -104,16 +111,40 @@
 
     # ---- servers -----------------------------------------------------------------------------------
 
-    def _server_list_updated(self, now: Microseconds, event: api.ServerListUpdated) -> None:
+    def may_act_on(self, now: Microseconds, server: int) -> bool:
+        """Whether the list still holds a server as up, and its lease has not run out."""
+        state = self.server_list.by_id.get(server)
+        return state is not None and self.guards.is_usable(now, state)
+
+    def _server_list_updated(self, now: Microseconds, event: api.ServerListUpdated) -> list[api.Action]:
         if event.kind is ServerListKind.FAILED:
-            self.watch.failed(now)
-            return
-        if event.kind is not ServerListKind.CACHED:  # which nobody was asked for
+            self.lease.watch_ended(now)
+            self.watch.failed(now, is_urgent=not self._peers_have_word(now))
+            return list(self.list_gossip.report(now))
+        is_cached = event.kind is ServerListKind.CACHED  # which nobody was asked for
+        if is_cached:
+            self.lease.start(now)
+        else:
+            self.lease.renew(now)
             self.watch.renew(now)
         self.watch.succeeded()
+        told = self.list_gossip.list_updated(now, event)
         for server in self.server_list.update(now, event.kind, event.servers):
             self.routing.ejections.forget(server)
         self._regroup()
+        return told if is_cached else [*told, *self.list_gossip.report(now)]
+
+    def _watch_interrupted(self, now: Microseconds, event: api.WatchInterrupted) -> list[api.Action]:
+        if event.reason is WatchInterruption.MOVED:
+            self.lease.watch_moved(now)
+        else:
+            self.lease.watch_ended(now)
+        # A new process says what it knows at the end of its first turn.
+        is_new = event.reason is WatchInterruption.NOT_OPEN
+        return [] if is_new else list(self.list_gossip.report(now))
+
+    def _peers_have_word(self, now: Microseconds) -> bool:
+        return self.lease.source is api.ListSource.PEER and self.lease.state(now) is LeaseState.HELD
 
     def _regroup(self) -> None:
         self.routing.regroup()
@@ -172,8 +203,17 @@
 
     # ---- exchanges with other agents ---------------------------------------------------------------
 
-    def _gossip_received(self, _: Microseconds, event: api.GossipReceived) -> None:
-        self.exchange.receive(event.sender, event.text, self.rollout_test.test)
+    def _gossip_received(self, now: Microseconds, event: api.GossipReceived) -> list[api.Action]:
+        if not event.text.startswith(list_messages.PREFIX):
+            self.exchange.receive(event.sender, event.text, self.rollout_test.test)
+            return []
+        had_word, withdrawn = self.lease.state(now) is LeaseState.HELD, self.server_list.withdrawn
+        told = self.list_gossip.receive(now, event.sender, event.text)
+        if not had_word and self._peers_have_word(now):
+            self.watch.defer(now)
+        if withdrawn != self.server_list.withdrawn:
+            self._regroup()
+        return told
 
     def _exchange_timer(self, now: Microseconds) -> api.SetTimer:
         # By the clock: agents exchange in step.
@@ -184,6 +224,7 @@
         if self.settings.needs_watch and self.watch.is_due(now):
             self.watch.renew(now)
             yield api.WatchServerList()
+        yield from self.list_gossip.end_turn(now)
         last, rollout, test = self.schedule.advance(now), self.settings.rollout, self.rollout_test.test
         if rollout is None:
             return
--- a/frostfall/interface.py
+++ b/frostfall/interface.py
@@ -41,6 +41,22 @@
     FAILED = auto()  # a call failed or the subscription broke
 
 
+class ListSource(Enum):
+    """From whom the last word on the server list came."""
+
+    CONFIGURATION = "configuration"
+    PEER = "peer"
+    DISCOVERY = "discovery"
+
+
+class WatchInterruption(Enum):
+    """Why the watch of the server list tells nothing for now, without a call having failed."""
+
+    NOT_OPEN = "the process has just started"
+    SILENT = "a call was not answered in time"
+    MOVED = "it is opened at another address"
+
+
 class Outcome(Enum):
     """How an attempt ended."""
 
@@ -121,6 +137,14 @@
 
     kind: ServerListKind
     servers: tuple[Server, ...]
+    generation: int = 0  # of the list, by which agents compare theirs
+
+
+@dataclass(frozen=True, slots=True)
+class WatchInterrupted:
+    """Changes of the server list may be missed from now on, until it is updated again."""
+
+    reason: WatchInterruption
 
 
 @dataclass(frozen=True, slots=True)
@@ -250,6 +274,7 @@
     | AnswerDisputed
     | ServerDegraded
     | AnswerDue
+    | WatchInterrupted
 )
 
 # ---- actions -----------------------------------------------------------------------------------
@@ -315,6 +340,17 @@
     """Ask for the changes of the server list from now on."""
 
 
+@dataclass(frozen=True, slots=True)
+class ReportServerList:
+    """For the operators: what is known of the server list has changed, or the ground to act on it."""
+
+    generation: int  # that is known of, by the last word
+    source: ListSource
+    lease: str  # on what ground the list is acted on
+    age: Microseconds | None  # since discovery gave that word; None: nobody has passed one on
+    withdrawn: int  # servers out of use by the word of peers
+
+
 @dataclass(frozen=True, slots=True)
 class CastVote:
     """Vote on a build."""
@@ -331,7 +367,7 @@
     text: str
 
 
-Action = (
+Effect = (
     SendAttempt
     | CancelAttempt
     | RejectRequest
@@ -343,3 +379,4 @@
     | CastVote
     | WriteLog
 )
+Action = Effect | ReportServerList  # the last changes nothing, and not every driver passes it on
--- a/frostfall/mechanisms/server_list.py
+++ b/frostfall/mechanisms/server_list.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Protocol
 
 from frostfall import interface as api
@@ -26,7 +27,7 @@
 class ServerList:
     """All listed servers by id, and those that are up in this agent's own random order."""
 
-    __slots__ = ("_ejection", "_random", "_start_times", "available", "by_id")
+    __slots__ = ("_ejection", "_random", "_start_times", "_withdrawn", "available", "by_id")
 
     def __init__(
         self,
@@ -43,6 +44,7 @@
         self._ejection = ejection
         self._start_times = start_times
         self.by_id: dict[int, ServerState] = {}
+        self._withdrawn: dict[int, api.Server] = {}  # by id: what the list itself says of them
         self.available: list[ServerState] = []
 
     def update(self, now: Microseconds, kind: ServerListKind, entries: tuple[api.Server, ...]) -> list[int]:
@@ -53,9 +55,39 @@
             listed = {entry.id for entry in entries}
             self.by_id = {id: server for id, server in self.by_id.items() if id in listed}
         changed = [entry.id for entry in entries if self._update_entry(now, entry)]
+        self._sort()
+        return changed
+
+    def withdraw(self, servers: set[int]) -> bool:
+        """Take exactly these servers out of use until they are listed again; whether that is a change."""
+        reinstated = self._withdrawn.keys() - servers
+        for id in reinstated:
+            listed = self._withdrawn.pop(id)
+            if server := self.by_id.get(id):
+                server.info = listed
+        withdrawn = [self.by_id[id] for id in servers if id in self.by_id and id not in self._withdrawn]
+        for server in withdrawn:
+            self._withdrawn[server.info.id] = server.info
+            server.info = replace(server.info, availability=Availability.DRAINING)
+        if reinstated or withdrawn:
+            self._sort()
+        return bool(reinstated or withdrawn)
+
+    @property
+    def withdrawn(self) -> int:
+        """How many servers are out of use without the list saying so."""
+        return len(self._withdrawn)
+
+    @property
+    def listed_up(self) -> int:
+        """How many servers the list itself says are up."""
+        return len(self.available) + sum(
+            listed.availability is Availability.UP for listed in self._withdrawn.values()
+        )
+
+    def _sort(self) -> None:
         up = (server for server in self.by_id.values() if server.info.availability is Availability.UP)
         self.available = sorted(up, key=lambda server: server.rank)
-        return changed
 
     def _update_entry(self, now: Microseconds, entry: api.Server) -> bool:
         known = self.by_id.get(entry.id)
--- a/frostfall/mechanisms/watch_schedule.py
+++ b/frostfall/mechanisms/watch_schedule.py
@@ -14,8 +14,8 @@
     """The numbers of a watch, all in microseconds."""
 
     retry_first: Microseconds
-    retry_longest: Microseconds
-    retry_jitter: Microseconds
+    retry_longest: Microseconds  # while nobody else has word of the list
+    retry_shortest: Microseconds
     spacing: Microseconds  # between the calls of all agents together
     start_part: int  # of a renewal's time, into which the first calls are spread
 
@@ -29,9 +29,11 @@
         """Without news a watch is renewed after `renewal`, or later where there are too many agents."""
         self._parameters = parameters
         self._random = source
-        self._first_within = min(agents * parameters.spacing, renewal) // parameters.start_part
+        self._crowd_window = min(agents * parameters.spacing, renewal)
+        self._first_within = self._crowd_window // parameters.start_part
         self._renewal = max(renewal, agents * parameters.spacing)
-        self._backoff = ExponentialBackoff(parameters.retry_first, parameters.retry_longest)
+        longest = max(parameters.retry_longest, self._crowd_window)
+        self._backoff = ExponentialBackoff(parameters.retry_first, longest)
         self._due_at: Microseconds = 0
 
     def start(self, now: Microseconds) -> None:
@@ -51,7 +53,18 @@
         """The list is known."""
         self._backoff.reset()
 
-    def failed(self, now: Microseconds) -> None:
-        """A call failed or the watch broke: call again, ever more slowly."""
-        jitter = self._random.randrange(self._parameters.retry_jitter)
-        self._due_at = now + self._backoff.next() + jitter
+    def failed(self, now: Microseconds, *, is_urgent: bool) -> None:
+        """A call failed or the watch broke: call again, ever more slowly.
+
+        The pause is drawn from the whole backoff, so that calls that failed together do not come together
+        again. `is_urgent`: no peer has word of the list either.
+        """
+        longest = self._backoff.next()
+        if is_urgent:
+            longest = min(longest, self._parameters.retry_longest)
+        shortest = min(self._parameters.retry_shortest, longest)
+        self._due_at = now + self._random.randrange(shortest, longest + 1)
+
+    def defer(self, now: Microseconds) -> None:
+        """A peer has word of the list: leave discovery to those without, and call within the whole window."""
+        self._due_at = max(self._due_at, now + self._random.randrange(self._crowd_window + 1))
--- a/frostfall/model/fleet.py
+++ b/frostfall/model/fleet.py
@@ -72,6 +72,7 @@
         self.is_cut: Callable[[int, int], bool] = lambda sender, receiver: False  # whether a message is lost
         self.discovery_up = True
         self._rollout_state = INITIAL_ROLLOUT
+        self._generations: dict[tuple[api.Server, ...], int] = {}  # of the lists that there have been
         self._queue = EventQueue(START)
         self._requests: dict[str, _Request] = {}
         self._incarnations = defaultdict[int, int](int)  # by agent: how often it has been restarted
@@ -103,7 +104,7 @@
     def _start(self, number: int) -> None:
         agent, incarnation = self.agents[number], self._incarnations[number]
         self._carry_out(number, incarnation, agent.start(self.now))
-        self.deliver(number, api.ServerListUpdated(api.ServerListKind.CACHED, self.server_list()))
+        self.deliver(number, self.list_event(api.ServerListKind.CACHED))
         self.deliver(number, self._rollout_state)
 
     def restart(self, numbers: Iterable[int]) -> None:
@@ -129,9 +130,15 @@
         """The servers, as discovery lists them."""
         return tuple(server.info for server in self.servers.values())
 
+    def list_event(self, kind: api.ServerListKind) -> api.ServerListUpdated:
+        """The complete list as it is now; each new content has a generation of its own."""
+        servers = self.server_list()
+        generation = self._generations.setdefault(servers, len(self._generations) + 1)
+        return api.ServerListUpdated(kind, servers, generation)
+
     def publish_server_list(self) -> None:
         """Let discovery send all agents the complete list, as it is now."""
-        self.deliver_to_all(api.ServerListUpdated(api.ServerListKind.COMPLETE, self.server_list()))
+        self.deliver_to_all(self.list_event(api.ServerListKind.COMPLETE))
 
     def publish_rollout(self, state: api.RolloutState) -> None:
         """Let the platform send all agents a rollout's state."""
@@ -181,7 +188,7 @@
     def _call_discovery(self, number: int, incarnation: int) -> None:
         self.statistics.list_calls.append(ListCall(self.now, number))
         if self.discovery_up:
-            reply = api.ServerListUpdated(api.ServerListKind.COMPLETE, self.server_list())
+            reply = self.list_event(api.ServerListKind.COMPLETE)
         else:
             reply = api.ServerListUpdated(api.ServerListKind.FAILED, ())
         self._deliver_later(number, incarnation, 2 * self.one_way_delay, reply)
--- a/frostfall/net/agent.py
+++ b/frostfall/net/agent.py
@@ -81,6 +81,7 @@
             config.settings.classes,
             post=self._driver.post,
             may_write=self.engine.may_write,
+            may_act_on=self.engine.may_act_on,
             endpoints=self.endpoints,
             pool=self.upstream_pool,
             pending_answers=self.pending_answers,
@@ -110,6 +111,7 @@
             self.list_received,
             self._list_failed,
             auto_restart=not config.settings.needs_watch,
+            on_interruption=self._watch_interrupted,
         )
         self.rollout_client = self._make_rollout_client()
         self._gossip = self._make_gossip_transport()
@@ -170,6 +172,8 @@
             case api.CastVote():
                 if self.rollout_client:
                     self.rollout_client.cast_vote(action)
+            case api.ReportServerList():
+                _log_server_list(action)
             case api.WriteLog(text):
                 _log.info(text)
             case api.CheckServerHealth(server):
@@ -204,6 +208,9 @@
     def _list_failed(self) -> None:
         self.post(api.ServerListUpdated(api.ServerListKind.FAILED, ()))
 
+    def _watch_interrupted(self, reason: api.WatchInterruption) -> None:
+        self.post(api.WatchInterrupted(reason))
+
     def _gossip_received(self, sender: int, text: str) -> None:
         self.post(api.GossipReceived(sender, text))
 
@@ -283,6 +290,8 @@
             self.config.initial_rollout,
             self._group_member,
         )
+        # No watch stands yet, also where lists are pushed; so nobody vouches for the list that follows.
+        self._watch_interrupted(api.WatchInterruption.NOT_OPEN)
         self._apply_list(member.usable_endpoints(listing) if member else listing, api.ServerListKind.CACHED)
         if rollout_state:
             (member.set_initial_rollout if member else self.post)(rollout_state)
@@ -327,6 +336,7 @@
             slow_peers=self.slow_peers,
             monitor=self._monitor,
             invariants=self.invariants,
+            list_gossip=self.engine.list_gossip,
             max_descriptors=self.config.limits.sockets,
         )
 
@@ -337,6 +347,17 @@
     return (longest_deadline + settings.rules.answer_slack) / 1e6
 
 
+def _log_server_list(report: api.ReportServerList) -> None:
+    _log.info(
+        "server list",
+        generation=report.generation,
+        source=report.source.value,
+        lease=report.lease,
+        age_s=None if report.age is None else round(report.age / 1e6, 3),
+        withdrawn=report.withdrawn,
+    )
+
+
 def _tune_garbage_collection() -> None:
     gc.collect()
     gc.freeze()  # what the start left stays for good, so that collections need not go through it
--- a/frostfall/net/discovery.py
+++ b/frostfall/net/discovery.py
@@ -8,12 +8,14 @@
 
 from frostfall import log
 from frostfall.config import Address
+from frostfall.interface import WatchInterruption
 from frostfall.net.streams import STREAM_ERRORS, Backoff, Stream, open_stream
 from frostfall.protocol.listing import CallFailed, Listing, Watch
 
 WAIT_FRACTION = 0.5  # of the time that the settings allow between polls: how long one call waits for a change
 MAX_WAIT_SECONDS = 4.0  # a silent watch counts as failed after six seconds, and a new call needs some of them
 RESPONSE_GRACE_SECONDS = 1.0  # past that wait, for the response; after two seconds it counts as late
+CONFIRMING_WAIT_SECONDS = 0.2  # that the call after a silent one waits for a change
 MIN_BACKOFF_SECONDS = 0.2  # between watches that fail and restart by themselves
 MAX_BACKOFF_SECONDS = 4.0
 
@@ -31,13 +33,19 @@
         on_list: Callable[[Listing], None],
         on_failure: Callable[[], None],
         auto_restart: bool = False,
+        on_interruption: Callable[[WatchInterruption], None] = lambda reason: None,
     ) -> None:
-        """Watch for what is newer than generation `since`; `watch_renewal_period` is in microseconds."""
+        """Watch for what is newer than generation `since`; `watch_renewal_period` is in microseconds.
+
+        `on_interruption` is called when a watch that goes on may have missed changes.
+        """
         self._address = address
         self._since = since
         self._wait_seconds = min(max(watch_renewal_period / 1e6 * WAIT_FRACTION, 1.0), MAX_WAIT_SECONDS)
         self._on_list = on_list
         self._on_failure = on_failure
+        self._on_interruption = on_interruption
+        self._was_silent = False  # the last call
         self._auto_restart = auto_restart
         self._requested = anyio.Event()
         self._answer_count = 0
@@ -53,6 +61,7 @@
         self._requested.set()
         if self._watching:
             self._watching.cancel()
+        self._on_interruption(WatchInterruption.MOVED)
 
     async def run(self) -> None:
         """Watch whenever it is requested."""
@@ -96,7 +105,10 @@
                 # A watch that has fallen silent is opened anew at once: a failure would wait for the next
                 # request to watch, and what was missed meanwhile counts as received. Its silence has lasted
                 # for seconds, so that discovery is not called more often for that.
+                self._was_silent = True
+                self._on_interruption(WatchInterruption.SILENT)
                 return None
+            self._was_silent = False
             if isinstance(answer, CallFailed):
                 return answer.why
             # The answer may have been read just as the address changed. It still counts, but its generation
@@ -113,8 +125,10 @@
 
     async def _call(self, stream: Stream, watch: Watch) -> Listing | CallFailed | None:
         """One call's answer; None where none comes in time."""
+        # After a silent call an answer is wanted soon, also where nothing has changed: it renews the lease.
+        wait_seconds = CONFIRMING_WAIT_SECONDS if self._was_silent else self._wait_seconds
         with anyio.move_on_after(self._wait_seconds + RESPONSE_GRACE_SECONDS):
-            await stream.send(watch.call(self._since, int(self._wait_seconds * 1000)))
+            await stream.send(watch.call(self._since, int(wait_seconds * 1000)))
             while True:
                 try:
                     data = await stream.receive()
--- a/frostfall/net/health_log.py
+++ b/frostfall/net/health_log.py
@@ -16,6 +16,7 @@
 from frostfall.net.clock import TimerQueue
 from frostfall.net.connection_monitor import ConnectionMonitor
 from frostfall.net.invariants import InvariantMonitor
+from frostfall.policy.list_gossip import ListGossip
 
 INTERVAL_SECONDS = 5.0
 
@@ -33,6 +34,7 @@
     slow_peers: SlowPeerDetector[Any]
     monitor: ConnectionMonitor
     invariants: InvariantMonitor
+    list_gossip: ListGossip
     max_descriptors: int
 
     async def run(self) -> None:
@@ -57,6 +59,9 @@
             shed=self.slow_peers.shed_counter.totals(),
             waiting=self.slow_peers.budget.buffered_bytes,
             violations=self.invariants.counts,
+            list_messages_dropped={
+                reason.name.lower(): count for reason, count in self.list_gossip.dropped.items()
+            },
             slept_s=round(self.monitor.clock.stalled_seconds, 3),
         )
         self.clients.malformed_counts.clear()
--- a/frostfall/net/invariants.py
+++ b/frostfall/net/invariants.py
@@ -16,6 +16,7 @@
     ACCEPT_ONE_AT_A_TIME = "a connection has at most one query accepted and not answered"
     WRITE_FOR_OPEN_REQUEST = "an attempt is written only while its request waits for an answer"
     WRITE_IN_TIME = "an attempt is written only before its request's deadline"
+    WRITE_ON_LEASE = "an attempt is written only to a server that the list holds as up, within its lease"
     REPEAT_IF_SAFE = "a further attempt is written only where no earlier one may have run, or harmlessly so"
     CLOSE_WHEN_ANSWERED = "a connection is closed only when all that was read from it is answered"
     EXIT_WHEN_ANSWERED = "the agent ends only when all that it accepted is answered"
--- a/frostfall/net/requests.py
+++ b/frostfall/net/requests.py
@@ -31,6 +31,7 @@
     from frostfall.net.operations import OperationCoordinator
 
 MayWrite = Callable[[int, str, int], bool]  # now in microseconds, request id, attempt number
+MayActOn = Callable[[int, int], bool]  # now in microseconds, server
 
 _log = log.get_logger("agent")
 
@@ -74,11 +75,15 @@
         *,
         post: Callable[[api.Event], None],
         may_write: MayWrite,
+        may_act_on: MayActOn,
         endpoints: EndpointList,
         pool: UpstreamPool,
         pending_answers: PendingAnswers,
     ) -> None:
-        """`post` hands events to the engine; `may_write` is its last word before an attempt goes out."""
+        """`post` hands events to the engine; `may_write` is its last word before an attempt goes out.
+
+        `may_act_on` says whether the lease of the endpoint list covers a server.
+        """
         self._clock = clock
         self._classes = {request_class.name: request_class for request_class in classes}
         self._invariants = pending_answers.invariants
@@ -86,6 +91,7 @@
         self._latest_deadline: int | None = None  # microseconds of the clock, once the agent is draining
         self._post = post
         self._may_write = may_write
+        self._may_act_on = may_act_on
         self._endpoints = endpoints
         self._pool = pool
         self._requests: dict[str, _Request] = {}  # by request id
@@ -280,7 +286,8 @@
         """The guard of each write: what must hold whatever the policies have decided."""
         request, name = dispatch.request, dispatch.action.request
         waits = request.client.request == name or self._operations is not None
-        if waits and now < request.deadline and len(request.attempts) == 1:
+        is_leased = self._may_act_on(now, dispatch.action.server)
+        if waits and is_leased and now < request.deadline and len(request.attempts) == 1:
             return True  # nearly always
         earlier = [
             WrittenAttempt(attempt.written_at, attempt.outcome)
@@ -292,6 +299,7 @@
         return (
             check(Invariant.WRITE_FOR_OPEN_REQUEST, waits, name)
             and check(Invariant.WRITE_IN_TIME, now < request.deadline, name)
+            and check(Invariant.WRITE_ON_LEASE, is_leased, name, f"server {dispatch.action.server}")
             and check(Invariant.REPEAT_IF_SAFE, is_safe, name, f"{len(earlier)} earlier attempts")
         )
 
--- a/frostfall/policy/guards.py
+++ b/frostfall/policy/guards.py
@@ -8,6 +8,7 @@
 from frostfall.mechanisms.fleet_statistics import FleetStatistics
 from frostfall.mechanisms.poisson import safe_utilization
 from frostfall.mechanisms.server_list import ServerList
+from frostfall.policy.endpoint_lease import EndpointLease
 from frostfall.policy.rollout_test import RolloutTest
 from frostfall.records import Attempt, PendingRequest, ServerState
 
@@ -76,6 +77,7 @@
     ) -> None:
         self.limits, self.rules, self.servers = settings.limits, settings.rules, servers
         self.statistics, self.rollout_test = statistics, test
+        self.lease = EndpointLease(settings)
         self.exposure = ExposureGuard(settings, servers)
 
     def may_send(self, now: Microseconds, request: PendingRequest, server: ServerState) -> bool:
@@ -100,7 +102,7 @@
         if request.done or now >= request.arrival.deadline or len(earlier) >= self.limits.max_attempts:
             return False
         info = server.info
-        if info.availability is not Availability.UP or self.servers.by_id.get(info.id) is not server:
+        if not self.is_usable(now, server):
             return False
         parallel = self.limits.parallel_attempts and request.request_class.idempotent
         for attempt in earlier:
@@ -110,6 +112,11 @@
                 return False
         return self.exposure.allows(now, request, info.build)
 
+    def is_usable(self, now: Microseconds, server: ServerState) -> bool:
+        """Whether the list still says that a server is up, and may still be acted on."""
+        listed = self.servers.by_id.get(server.info.id) is server
+        return listed and server.info.availability is Availability.UP and self.lease.allows(now, server)
+
     def _may_repeat(
         self, now: Microseconds, request: PendingRequest, earlier: Attempt, target: api.Server
     ) -> bool:
--- a/frostfall/policy/learning.py
+++ b/frostfall/policy/learning.py
@@ -47,6 +47,8 @@
         if outcome is Outcome.UNREACHABLE:
             server.ejected_until = now + server.ejection.next()
             return
+        if served:
+            server.served_at = now
         if outcome in ANSWERS:
             server.last_response_at = now
             server.ejection.reset()
--- a/frostfall/policy/placement.py
+++ b/frostfall/policy/placement.py
@@ -42,6 +42,8 @@
             return None
         self.health_checks.spend(1)
         server = min(sample, key=lambda server: server.checked_at)
+        if not self.routing.guards.is_usable(now, server):
+            return None
         server.checked_at = now
         return server
 
--- a/frostfall/policy/server_watch.py
+++ b/frostfall/policy/server_watch.py
@@ -5,7 +5,7 @@
 WATCH = WatchParameters(
     retry_first=300_000,
     retry_longest=4_000_000,
-    retry_jitter=100_000,
+    retry_shortest=100_000,
     spacing=200_000,
     start_part=5,
 )
--- a/frostfall/protocol/entries.py
+++ b/frostfall/protocol/entries.py
@@ -44,7 +44,8 @@
 
 def listed(listing: Listing, kind: api.ServerListKind) -> api.ServerListUpdated:
     """A list or its changes."""
-    return api.ServerListUpdated(kind, tuple(server(entry) for entry in listing.instances))
+    servers = tuple(server(entry) for entry in listing.instances)
+    return api.ServerListUpdated(kind, servers, listing.generation)
 
 
 def load(text: str | None) -> api.LoadReport | None:
--- a/frostfall/records.py
+++ b/frostfall/records.py
@@ -41,6 +41,7 @@
     learned_at: Microseconds = 0  # when slowness and error rate were updated
     ejected_until: Microseconds = 0
     last_response_at: Microseconds = 0  # of an attempt or a health check
+    served_at: Microseconds | None = None  # when it last served an attempt
     checked_at: Microseconds = 0  # when a health check was sent
     warm_up_credit: float = 0.0  # sends that the warm-up budget allowed when it was last updated
     credit_updated_at: Microseconds = 0
--- a/frostfall/simulator/codec.py
+++ b/frostfall/simulator/codec.py
@@ -108,8 +108,10 @@
             return api.ClientDisconnected(message.request)
 
 
-def encode_action(agent: int, action: api.Action) -> bytes:
-    """One line of a reply, without its line end."""
+def encode_action(agent: int, action: api.Action) -> bytes | None:
+    """One line of a reply, without its line end; None for what the simulator has no use for."""
+    if isinstance(action, api.ReportServerList):
+        return None
     return _ENCODER.encode(_fields(action) | {"agent": agent})
 
 
@@ -159,7 +161,7 @@
         return api.ServerListUpdated(kind, ())
     if message.server_list not in server_lists:
         raise WireError(f"view names bank {message.server_list}, which no roster has set up")
-    return api.ServerListUpdated(kind, server_lists[message.server_list])
+    return api.ServerListUpdated(kind, server_lists[message.server_list], message.generation)
 
 
 def _rollout_state(message: wire.RolloutStateChanged) -> api.RolloutState:
@@ -187,7 +189,7 @@
     )
 
 
-def _fields(action: api.Action) -> dict[str, Any]:
+def _fields(action: api.Effect) -> dict[str, Any]:
     """An action's verb and fields as the wire names them, but for the agent."""
     match action:
         case api.SendAttempt():
