--- a/frostfall/bench/fault_soak/datagrams.py
+++ b/frostfall/bench/fault_soak/datagrams.py
@@ -43,8 +43,9 @@
             while True:
                 await anyio.wait_readable(own)
                 with suppress(BlockingIOError, ConnectionError):  # an agent that is down refuses datagrams
-                    data, source = own.recvfrom(MAX_BYTES)
-                    self._pass_on(self._numbers.get(Address(*source)), receiver, data)
+                    while True:  # or this process, when it is busy, would make all datagrams late
+                        data, source = own.recvfrom(MAX_BYTES)
+                        self._pass_on(self._numbers.get(Address(*source)), receiver, data)
 
     def _pass_on(self, sender: int | None, receiver: int, data: bytes) -> None:
         if sender is None or sender == self._faults.silent_agent:
--- a/frostfall/gossip/list_messages.py
+++ b/frostfall/gossip/list_messages.py
@@ -32,7 +32,7 @@
 _FINGERPRINT_MASK = 0xFFFF
 _AGE_UNIT: Microseconds = 10_000
 _NO_AGE = 0xFFFF  # nobody has vouched for this generation
-_FIRST_HAND = 1
+_CONFIRMED = 1
 
 _BODY_BYTES = (MAX_CHARS - len(UPDATE_PREFIX)) // 5 * 4  # base 85 takes 5 characters for 4 bytes
 ENTRIES_PER_PART = (_BODY_BYTES - _HEADER.size) // _ENTRY.size
@@ -81,7 +81,7 @@
     age: Microseconds | None  # since discovery vouched for this generation; None: it never did
     part: int
     parts: int
-    is_first_hand: bool  # the sender has all of it from discovery itself
+    is_confirmed: bool  # the sender has it from discovery itself, or from a quorum of agents that say this
     entries: tuple[ChangedEntry, ...]
 
 
@@ -113,7 +113,7 @@
 def encode_update(update: ListUpdate) -> str:
     """The update as text; it holds `ENTRIES_PER_PART` entries at most."""
     age = _NO_AGE if update.age is None else min(max(update.age, 0) // _AGE_UNIT, _NO_AGE - 1)
-    flags = _FIRST_HAND if update.is_first_hand else 0
+    flags = _CONFIRMED if update.is_confirmed else 0
     header = _HEADER.pack(
         update.nonce, update.since, update.generation, age, update.part, update.parts, flags
     )
@@ -152,6 +152,6 @@
         age=None if age == _NO_AGE else age * _AGE_UNIT,
         part=part,
         parts=parts,
-        is_first_hand=bool(flags & _FIRST_HAND),
+        is_confirmed=bool(flags & _CONFIRMED),
         entries=tuple(entries),
     )
--- a/frostfall/net/discovery.py
+++ b/frostfall/net/discovery.py
@@ -15,6 +15,9 @@
 WAIT_FRACTION = 0.5  # of the time that the settings allow between polls: how long one call waits for a change
 MAX_WAIT_SECONDS = 4.0  # a silent watch counts as failed after six seconds, and a new call needs some of them
 RESPONSE_GRACE_SECONDS = 1.0  # past that wait, for the response; after two seconds it counts as late
+FIRST_CALL_SECONDS = (
+    5.0  # at least, for the first response on a connection: it may wait for its turn in a crowd
+)
 CONFIRMING_WAIT_SECONDS = 0.2  # that the call after a silent one waits for a change
 MIN_BACKOFF_SECONDS = 0.2  # between watches that fail and restart by themselves
 MAX_BACKOFF_SECONDS = 4.0
@@ -99,13 +102,16 @@
     async def _run_calls(self, stream: Stream, scope: anyio.CancelScope) -> str | None:
         """Call after call on one connection; why the watch ended, or None where only the connection did."""
         watch = Watch(str(self._address))
+        limit = max(self._wait_seconds + RESPONSE_GRACE_SECONDS, FIRST_CALL_SECONDS)
         while True:
-            answer = await self._call(stream, watch)
+            answer = await self._call(stream, watch, limit)
+            limit = self._wait_seconds + RESPONSE_GRACE_SECONDS
             if answer is None:
                 # A watch that has fallen silent is opened anew at once: a failure would wait for the next
                 # request to watch, and what was missed meanwhile counts as received. Its silence has lasted
                 # for seconds, so that discovery is not called more often for that.
                 self._was_silent = True
+                _log.info("watch silent")
                 self._on_interruption(WatchInterruption.SILENT)
                 return None
             self._was_silent = False
@@ -123,11 +129,11 @@
             if not watch.reusable:
                 return None
 
-    async def _call(self, stream: Stream, watch: Watch) -> Listing | CallFailed | None:
-        """One call's answer; None where none comes in time."""
+    async def _call(self, stream: Stream, watch: Watch, limit: float) -> Listing | CallFailed | None:
+        """One call's answer; None where none comes within so many seconds."""
         # After a silent call an answer is wanted soon, also where nothing has changed: it renews the lease.
         wait_seconds = CONFIRMING_WAIT_SECONDS if self._was_silent else self._wait_seconds
-        with anyio.move_on_after(self._wait_seconds + RESPONSE_GRACE_SECONDS):
+        with anyio.move_on_after(limit):
             await stream.send(watch.call(self._since, int(wait_seconds * 1000)))
             while True:
                 try:
--- a/frostfall/policy/endpoint_lease.py
+++ b/frostfall/policy/endpoint_lease.py
@@ -15,9 +15,12 @@
 
 DURATION = 6_000_000  # us after discovery had a change, from which on each agent counts as notified of it
 DURATION_AFTER_MOVE = 4_000_000  # us after the watch was moved to another address, likewise
-FIRST_WORD_PATIENCE = 400_000  # us that a new process waits for a word; less than the grace of a drain
-FIRST_WORD_PEERS = 3  # that have answered without a word, from which on it waits no longer
-PEER_SILENCE = 1_000_000  # us without any answer, from which on peers count as out of reach
+FIRST_WORD_PATIENCE = 3_000_000  # us that a new process waits for a word
+FIRST_WORD_PEERS = 12  # that have answered without a fresh word, from which on it waits no longer
+OUTAGE_PEERS = 6  # that have no fresh word either, for an outage ...
+OUTAGE_DIVISOR = 2  # ... or this part of a small fleet
+PEER_MEMORY = 3_000_000  # us for which such an answer counts
+AHEAD_MEMORY = 1_000_000  # us for which a fresh word counts that could not be taken over
 WITNESS_AGE = 1_000_000  # us for which a server's own answer shows that it still serves
 
 
@@ -26,8 +29,9 @@
 
     HELD = "discovery has vouched for the list within the lease, here or at a peer"
     STARTING = "nobody has vouched for the list of the configuration yet"
-    OUTAGE = "no agent in reach has had word of discovery for longer than the lease"
-    EXPIRED = "neither discovery nor any peer answers"
+    OUTAGE = "of some agents in reach none has had word of discovery within the lease"
+    BEHIND = "a peer has word of discovery that cannot be taken over yet"
+    EXPIRED = "neither discovery nor enough peers answer"
 
 
 @dataclass(slots=True)
@@ -49,8 +53,8 @@
         self._voucher = _Voucher()
         self._started_at: Microseconds = 0
         self._moved_until = math.inf  # the end of the lease after a move of the watch
-        self._peer_answered_at: Microseconds | None = None
-        self._silent_peers = set[int]()  # that have answered a new process, but had no word
+        self._ahead_at: Microseconds | None = None  # when a fresh word last could not be taken over
+        self._uninformed: dict[int, Microseconds] = {}  # peers without a fresh word, by their last answers
         self._valid_until: float = 0.0  # until when nothing needs to be looked at again
 
     @property
@@ -78,6 +82,7 @@
     def renew(self, now: Microseconds) -> None:
         """Discovery has answered: its watch stands from here on."""
         self._voucher = _Voucher(ListSource.DISCOVERY, now)
+        self._ahead_at = None
         self._watch_stands = True
         self._moved_until = math.inf
         self._update(now)
@@ -93,18 +98,24 @@
             self._moved_until = now + DURATION_AFTER_MOVE
         self.watch_ended(now)
 
-    def peer_answered(self, now: Microseconds, peer: int, *, has_word: bool) -> None:
-        """A peer is in reach."""
-        self._peer_answered_at = now
-        if not has_word:
-            self._silent_peers.add(peer)
-        self._update(now)
+    def peer_answered(self, now: Microseconds, peer: int, vouched_at: Microseconds | None) -> None:
+        """A peer is in reach, whose own last word is of then; None: it has none."""
+        if vouched_at is None or now >= vouched_at + DURATION:
+            self._uninformed[peer] = now
+        else:
+            self._uninformed.pop(peer, None)
+
+    def peer_is_ahead(self, now: Microseconds, vouched_at: Microseconds) -> None:
+        """A peer passes on a word, but what it brings is incomplete here or not believed yet."""
+        if now < vouched_at + DURATION:
+            self._ahead_at = now
 
     def peer_vouched(self, now: Microseconds, vouched_at: Microseconds) -> bool:
         """A peer passes on discovery's word on all that is known here; whether it is news."""
         if self._voucher.at is not None and vouched_at <= self._voucher.at:
             return False
         self._voucher = _Voucher(ListSource.PEER, vouched_at)
+        self._ahead_at = None
         self._moved_until = math.inf
         self._update(now)
         return True
@@ -124,22 +135,20 @@
             return LeaseState.HELD
         if not self.has_peers:  # nobody else could know more
             return LeaseState.OUTAGE
-        if self._voucher.at is None and self._waits_for_first_word(now):
-            return LeaseState.STARTING
-        answered_at = self._peer_answered_at
-        if answered_at is not None and now - answered_at < PEER_SILENCE:
-            return LeaseState.OUTAGE
-        return LeaseState.EXPIRED
-
-    def _waits_for_first_word(self, now: Microseconds) -> bool:
-        enough = min(FIRST_WORD_PEERS, self._peer_count)
-        return now < self._started_at + FIRST_WORD_PATIENCE and len(self._silent_peers) < enough
+        if self._ahead_at is not None and now - self._ahead_at < AHEAD_MEMORY:
+            return LeaseState.BEHIND
+        uninformed = sum(now - at < PEER_MEMORY for at in self._uninformed.values())
+        if self._voucher.at is None and now < self._started_at + FIRST_WORD_PATIENCE:
+            enough = uninformed >= min(FIRST_WORD_PEERS, self._peer_count)
+            return LeaseState.OUTAGE if enough else LeaseState.STARTING
+        enough = uninformed >= min(OUTAGE_PEERS, math.ceil(self._peer_count / OUTAGE_DIVISOR))
+        return LeaseState.OUTAGE if enough else LeaseState.EXPIRED
 
     def allows(self, now: Microseconds, server: ServerState) -> bool:
         """Whether an attempt or a health check may go to a listed server now."""
         if now < self._valid_until:  # nearly always
             return True
         state = self.state(now)
-        if state is LeaseState.EXPIRED:
+        if state in (LeaseState.EXPIRED, LeaseState.BEHIND):  # beside the list, its own answer vouches for it
             return server.served_at is not None and now - server.served_at < WITNESS_AGE
         return state is not LeaseState.STARTING
--- a/frostfall/policy/list_gossip.py
+++ b/frostfall/policy/list_gossip.py
@@ -34,10 +34,9 @@
 from frostfall.policy.endpoint_lease import EndpointLease, LeaseState
 from frostfall.policy.peer_restrictions import PeerRestrictions
 
-FIRST_QUERIES = 3  # peers that a new process asks at once
+FIRST_QUERIES = 4  # peers that a new process asks at once, and in each turn until it has a word
 QUERIES_PER_TURN = 2  # peers asked in a turn while nobody's word is fresh ...
 REFRESH_PERIOD = 1_000_000  # us between queries once it is; a lease takes several of them
-OUTAGE_QUERIES = 1  # peers asked in a turn while all are without word
 MAX_UPDATES_PER_TURN = 32  # datagrams by which others are answered
 MAX_PARTS_PER_QUERY = 16  # datagrams that one query is answered by
 RECENT_QUERY = 1_500_000  # us for which a peer that asked is told what changes
@@ -107,7 +106,7 @@
         self._restrictions = PeerRestrictions(self._agents)
         self._history = ChangeHistory()  # by discovery
         self._hearsay = ChangeHistory()  # by peers, since discovery last answered
-        self._has_discovery = False  # it has answered this process
+        self._is_confirmed = False  # the latest generation is known from discovery, or from a quorum
         self._generation = 0  # of the list here, which discovery or the configuration gave
         self._servers_by_key: dict[int, int] | None = None  # made when it is needed
         self._askers: dict[int, _Asker] = {}  # by peer, the latest last
@@ -140,7 +139,7 @@
         self._partials.clear()
         self._history.record(generation, self._changes(event))
         self._hearsay.start(generation)
-        self._has_discovery = True
+        self._is_confirmed = True
         return list(self._tell_askers(now)) if generation > before else []
 
     def _changes(self, event: api.ServerListUpdated) -> Iterator[ChangedEntry]:
@@ -164,8 +163,8 @@
         if self._restrictions and self._restrictions.expire(now):
             self._withdraw()
         if self._lease.has_peers and not self._lease.watch_stands and now >= self._next_query_at:
-            state = self._lease.state(now)
-            yield from self._ask(now, OUTAGE_QUERIES if state is LeaseState.OUTAGE else QUERIES_PER_TURN)
+            is_new = self._lease.state(now) is LeaseState.STARTING
+            yield from self._ask(now, FIRST_QUERIES if is_new else QUERIES_PER_TURN)
         yield from self.report(now)
 
     def _ask(self, now: Microseconds, count: int) -> Iterator[api.SendGossip]:
@@ -227,7 +226,7 @@
             age=now - vouched_at if vouched_at is not None and can_compare else None,
             part=0,
             parts=len(groups),
-            is_first_hand=self._has_discovery and self.generation == self._generation,
+            is_confirmed=self._is_confirmed,
             entries=(),
         )
         for part in range(query.first_part, min(len(groups), query.first_part + MAX_PARTS_PER_QUERY)):
@@ -255,19 +254,24 @@
         if asked_at is None:
             self.dropped[DropReason.UNASKED] += 1
             return
-        self._lease.peer_answered(now, peer, has_word=update.age is not None)
+        self._lease.peer_answered(now, peer, None if update.age is None else asked_at - update.age)
         if update.generation < self._generation:
             return  # its list is older than the one here
         self._restrict(now, peer, update)
         whole = self._assemble(peer, update, asked_at)
-        if whole is None or update.age is None:
+        if update.age is None:
+            return
+        if whole is None or self._servers.withdrawn < len(self._restrictions):
+            self._lease.peer_is_ahead(now, asked_at - update.age)
             return
-        if self._servers.withdrawn < len(self._restrictions):
-            return  # not all of what is claimed is believed yet
         if self._lease.peer_vouched(now, whole.asked_at - update.age):
             self._next_query_at = now + REFRESH_PERIOD
-        if update.generation > self.generation:
+        is_news = update.generation > self.generation
+        is_confirmed = self._restrictions.all_confirmed
+        if is_news:
             self._hearsay.record(update.generation, whole.all_entries())
+        if is_news or (is_confirmed and not self._is_confirmed):
+            self._is_confirmed = is_confirmed
             yield from self._tell_askers(now)
 
     def _restrict(self, now: Microseconds, peer: int, update: ListUpdate) -> None:
@@ -275,7 +279,7 @@
         for entry in update.entries:
             server = self._by_key().get(entry.key)
             if server is not None and self._is_restricted_by(entry, server):
-                self._restrictions.add(now, server, peer, is_first_hand=update.is_first_hand)
+                self._restrictions.add(now, server, peer, is_confirmed=update.is_confirmed)
         if update.entries:
             self._withdraw()
 
--- a/frostfall/policy/peer_restrictions.py
+++ b/frostfall/policy/peer_restrictions.py
@@ -1,14 +1,15 @@
 """Which servers peers' word takes out of use, mad or forged as it may be (types: frostfall/interface.py).
 
-Peers only restrict. What two of them have from discovery itself is believed; what fewer say, or what comes
-second-hand, is believed of a part of the servers that are up. An echo from other agents adds nothing to it.
+Peers only restrict. What a quorum of them has from discovery, or from a quorum in turn, is believed and may
+be passed on as confirmed; what fewer say is believed of a part of the servers that are up. So a single mad
+peer, and every echo of its word, takes no more than that part out of use.
 """
 
 from dataclasses import dataclass, field
 
 from frostfall.interface import Microseconds
 
-QUORUM = 2  # agents that have a change from discovery itself, to be believed of any number of servers
+QUORUM = 2  # agents that confirm a change, to be believed of any number of servers
 UNCONFIRMED_SHARE = 0.25  # of the servers that are up, of which fewer agents are believed
 LIFETIME = 60_000_000  # us after which a word is forgotten that nobody repeats
 
@@ -18,7 +19,7 @@
     """What peers say of one server."""
 
     expires_at: Microseconds
-    vouchers: set[int] = field(default_factory=set)  # agents that have it from discovery
+    vouchers: set[int] = field(default_factory=set)  # agents that confirm it
 
 
 class PeerRestrictions:
@@ -33,11 +34,11 @@
         """How many servers are claimed to be unusable."""
         return len(self._claims)
 
-    def add(self, now: Microseconds, server: int, peer: int, *, is_first_hand: bool) -> None:
+    def add(self, now: Microseconds, server: int, peer: int, *, is_confirmed: bool) -> None:
         """A peer says that a server may not be used as it stands in the list here."""
         claim = self._claims.setdefault(server, _Claim(now + LIFETIME))
         claim.expires_at = now + LIFETIME
-        if is_first_hand:
+        if is_confirmed:
             claim.vouchers.add(peer)
 
     def clear(self) -> None:
@@ -51,10 +52,16 @@
         self._claims = kept
         return has_expired
 
+    @property
+    def all_confirmed(self) -> bool:
+        """Whether a quorum confirms every claim."""
+        return all(self._is_confirmed(claim) for claim in self._claims.values())
+
+    def _is_confirmed(self, claim: _Claim) -> bool:
+        return len(claim.vouchers) >= self._quorum
+
     def believed(self, up: int) -> set[int]:
-        """The servers to leave alone, where so many are listed as up."""
-        confirmed = {server for server, claim in self._claims.items() if len(claim.vouchers) >= self._quorum}
-        unconfirmed = [
-            server for server in self._claims if server not in confirmed
-        ]  # the first claimed first
+        """The servers to leave alone, where so many are listed as up; the first claimed come first."""
+        confirmed = {server for server, claim in self._claims.items() if self._is_confirmed(claim)}
+        unconfirmed = [server for server in self._claims if server not in confirmed]
         return confirmed | set(unconfirmed[: max(int(up * UNCONFIRMED_SHARE), 1)])
--- /dev/null
+++ b/tests/test_endpoint_lease.py
@@ -0,0 +1,187 @@
+"""The lease of the endpoint list: on whose word it is acted on, until when, and what follows without any."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from frostfall import interface as api
+from frostfall.interface import ListSource, ServerListKind, WatchInterruption
+from frostfall.policy.endpoint_lease import (
+    DURATION,
+    DURATION_AFTER_MOVE,
+    FIRST_WORD_PATIENCE,
+    FIRST_WORD_PEERS,
+    OUTAGE_PEERS,
+    PEER_MEMORY,
+    WITNESS_AGE,
+    EndpointLease,
+    LeaseState,
+)
+from frostfall.policy.peer_restrictions import LIFETIME, PeerRestrictions
+from tests.support import SAFE, Agent, S, limits, sends, server
+
+WATCHED = replace(limits(gossip=True), agents=5, needs_watch=True)
+START = 100 * S
+
+
+def new_lease(settings: api.Settings = WATCHED) -> EndpointLease:
+    lease = EndpointLease(settings)
+    lease.start(START)
+    return lease
+
+
+def test_nobody_vouches_for_a_configurations_list_until_somebody_answers() -> None:
+    lease = new_lease()
+    assert lease.state(START) is LeaseState.STARTING and lease.source is ListSource.CONFIGURATION
+    assert lease.state(START + FIRST_WORD_PATIENCE) is LeaseState.EXPIRED
+    lease.renew(START + S)
+    assert lease.state(START + 99 * S) is LeaseState.HELD  # the watch stands
+
+
+def test_a_new_process_waits_no_longer_once_some_peers_know_no_more() -> None:
+    lease = new_lease(replace(WATCHED, agents=40))
+    for peer in range(FIRST_WORD_PEERS):
+        assert lease.state(START) is LeaseState.STARTING
+        lease.peer_answered(START, peer, None)
+    assert lease.state(START) is LeaseState.OUTAGE  # nobody knows more: the fleet goes on
+
+
+def test_after_the_watch_has_ended_the_last_word_holds_for_so_long() -> None:
+    lease = new_lease()
+    lease.renew(START)
+    lease.watch_ended(START + S)
+    assert lease.state(START + DURATION - 1) is LeaseState.HELD
+    assert lease.state(START + DURATION) is LeaseState.EXPIRED
+    for peer in (2, 3):  # half of the others, in so small a fleet
+        assert lease.state(START + DURATION) is LeaseState.EXPIRED
+        lease.peer_answered(START + DURATION, peer, START)
+    assert lease.state(START + DURATION) is LeaseState.OUTAGE
+    lease.peer_answered(START + DURATION, 3, START + S)  # it knows more
+    assert lease.state(START + DURATION) is LeaseState.EXPIRED
+    lease.peer_answered(START + DURATION, 3, START)
+    assert lease.state(START + DURATION + PEER_MEMORY) is LeaseState.EXPIRED
+
+
+def test_in_a_large_fleet_an_outage_is_what_some_peers_have_no_word_of() -> None:
+    lease = new_lease(replace(WATCHED, agents=200))
+    lease.peer_vouched(START, START - DURATION)
+    for peer in range(OUTAGE_PEERS):
+        assert lease.state(START) is LeaseState.EXPIRED
+        lease.peer_answered(START, peer, None)
+    assert lease.state(START) is LeaseState.OUTAGE
+
+
+def test_after_a_move_the_lease_is_shorter_and_a_second_move_does_not_extend_it() -> None:
+    lease = new_lease()
+    lease.renew(START)
+    lease.watch_moved(START + S)
+    lease.watch_moved(START + 3 * S)
+    assert lease.state(START + S + DURATION_AFTER_MOVE - 1) is LeaseState.HELD
+    assert lease.state(START + S + DURATION_AFTER_MOVE) is LeaseState.EXPIRED
+
+
+def test_a_peers_word_counts_from_when_discovery_gave_it_and_an_older_one_changes_nothing() -> None:
+    lease = new_lease()
+    assert lease.peer_vouched(START, START - 2 * S)
+    assert lease.source is ListSource.PEER
+    assert lease.state(START + DURATION - 2 * S - 1) is LeaseState.HELD
+    assert not lease.peer_vouched(START, START - 3 * S)
+    assert lease.state(START + DURATION - 2 * S) is LeaseState.EXPIRED
+
+
+def test_with_a_peer_ahead_that_cannot_be_followed_yet_only_witnesses_are_used() -> None:
+    lease = new_lease()
+    lease.peer_is_ahead(START, START - DURATION)  # an old word says no more than that there is an outage
+    assert lease.state(START + FIRST_WORD_PATIENCE - 1) is LeaseState.STARTING
+    later = START + 2 * S
+    for peer in range(1, 5):
+        lease.peer_answered(later, peer, None)
+    assert lease.state(later) is LeaseState.OUTAGE
+    lease.peer_is_ahead(later, later - S)
+    assert lease.state(later) is LeaseState.BEHIND
+    lease.peer_vouched(later, later - S)
+    assert lease.state(later) is LeaseState.HELD
+
+
+def test_without_peers_there_is_nobody_who_could_know_more() -> None:
+    for settings in (replace(WATCHED, agents=1), replace(limits(gossip=False), agents=5, needs_watch=True)):
+        assert new_lease(settings).state(START + 99 * S) is LeaseState.OUTAGE
+
+
+def cut_off_agent() -> Agent:
+    """An agent that discovery answered once, and nobody since."""
+    agent = Agent(replace(WATCHED, rollout=None), server(1), server(2))
+    agent.tell(api.ServerListUpdated(ServerListKind.COMPLETE, (server(1), server(2)), 7))
+    agent.listed(kind=ServerListKind.FAILED)
+    return agent
+
+
+def test_an_agent_that_nobody_answers_sends_only_where_an_answer_came_a_moment_ago() -> None:
+    agent = cut_off_agent()
+    agent.advance(DURATION - S // 2)
+    (sent,) = sends(agent.ask(SAFE))
+    agent.end(sent)
+    agent.advance(S // 2)
+    assert [agent.may(name) for name in (sent.server, 3 - sent.server)] == [True, False]
+    agent.advance(WITNESS_AGE)
+    assert not agent.may(1) and not agent.may(2)
+    assert not sends(agent.ask(SAFE))
+
+
+def test_a_lease_that_runs_out_while_an_attempt_waits_for_its_connection_stops_it() -> None:
+    agent = cut_off_agent()
+    agent.advance(DURATION - 1)
+    (sent,) = sends(agent.ask(SAFE))
+    assert agent.engine.may_write(agent.now, sent.request, 0)
+    agent.advance(1)
+    assert not agent.engine.may_write(agent.now, sent.request, 0)
+    assert not agent.engine.may_act_on(agent.now, sent.server)
+
+
+def test_a_new_process_sends_nothing_before_a_word_and_a_silent_watch_ends_its_own() -> None:
+    agent = Agent(replace(limits(gossip=True), agents=5, rollout=None), server(1))  # lists are pushed
+    assert agent.may(1)
+    agent.tell(api.WatchInterrupted(WatchInterruption.NOT_OPEN))
+    assert not agent.may(1)
+    agent.tell(api.ServerListUpdated(ServerListKind.DELTA, (), 3))
+    assert agent.may(1)
+    agent.tell(api.WatchInterrupted(WatchInterruption.SILENT))
+    agent.advance(DURATION)
+    assert not agent.may(1)
+
+
+@pytest.mark.parametrize("reason", [WatchInterruption.SILENT, WatchInterruption.MOVED])
+def test_each_change_of_the_lease_is_reported_once(reason: WatchInterruption) -> None:
+    agent = Agent(replace(WATCHED, rollout=None), server(1))
+    (report,) = agent.tell(api.ServerListUpdated(ServerListKind.COMPLETE, (server(1),), 7))
+    assert report == api.ReportServerList(7, ListSource.DISCOVERY, "held", 0, 0)
+    assert agent.tell(api.WatchInterrupted(reason)) == []
+    reports = [each for each in agent.pass_time(8 * S) if isinstance(each, api.ReportServerList)]
+    assert [each.lease for each in reports] == ["expired"]
+
+
+# ---- what peers may restrict -----------------------------------------------------------------------------
+
+
+def test_one_peer_takes_a_quarter_out_of_use_at_most_and_two_that_confirm_it_any_number() -> None:
+    restrictions = PeerRestrictions(agents=5)
+    for name in range(20):
+        restrictions.add(START, name, 1, is_confirmed=True)
+        restrictions.add(START, name, 2, is_confirmed=False)  # an echo
+    assert len(restrictions.believed(20)) == 5
+    for name in range(20):
+        restrictions.add(START, name, 3, is_confirmed=True)
+    assert restrictions.believed(20) == set(range(20))
+
+
+def test_a_claim_that_nobody_repeats_expires_and_discovery_supersedes_all() -> None:
+    restrictions = PeerRestrictions(agents=5)
+    restrictions.add(START, 1, 1, is_confirmed=True)
+    restrictions.add(START + LIFETIME // 2, 2, 1, is_confirmed=True)
+    assert not restrictions.expire(START + LIFETIME - 1)
+    assert restrictions.expire(START + LIFETIME)
+    assert restrictions.believed(20) == {2}
+    restrictions.clear()
+    assert not restrictions.believed(20)
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -139,6 +139,7 @@
         return False
 
     monkeypatch.setattr(driver, "RESPONSE_GRACE_SECONDS", 0.1)
+    monkeypatch.setattr(driver, "FIRST_CALL_SECONDS", 0.1)
     service = Service(silent)
     async with listening(service) as address, anyio.create_task_group() as group:
         watched = Watched(address)
