--- a/frostfall/net/agent.py
+++ b/frostfall/net/agent.py
@@ -5,6 +5,7 @@
 import gc
 import socket
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import anyio
@@ -59,7 +60,7 @@
         """Prepare an agent; nothing is opened before `run`."""
         self.config = config
         self.clock = clock or Clock()
-        self.engine = PolicyEngine(config.settings, config.seed)
+        self.engine = PolicyEngine(_usable_settings(config), config.seed)
         self.endpoints = EndpointList()
         self.slow_peers = SlowPeerDetector[ClientConnection](config.options.slow_peers)
         self._max_request_seconds = _max_request_seconds(config.settings)
@@ -347,6 +348,14 @@
     return (longest_deadline + settings.rules.answer_slack) / 1e6
 
 
+def _usable_settings(config: Config) -> Settings:
+    """The settings, without gossip where the configuration names nobody to exchange it with."""
+    settings = config.settings
+    if config.peer_listen and len(config.peers) > 1:
+        return settings
+    return replace(settings, limits=replace(settings.limits, gossip=False))
+
+
 def _log_server_list(report: api.ReportServerList) -> None:
     _log.info(
         "server list",
--- a/tests/test_endpoint_lease.py
+++ b/tests/test_endpoint_lease.py
@@ -7,7 +7,9 @@
 import pytest
 
 from frostfall import interface as api
+from frostfall.config import Address
 from frostfall.interface import ListSource, ServerListKind, WatchInterruption
+from frostfall.net.agent import Agent as AgentOnSockets
 from frostfall.policy.endpoint_lease import (
     DURATION,
     DURATION_AFTER_MOVE,
@@ -20,6 +22,7 @@
     LeaseState,
 )
 from frostfall.policy.peer_restrictions import LIFETIME, PeerRestrictions
+from tests.standins import configured, instance
 from tests.support import SAFE, Agent, S, limits, sends, server
 
 WATCHED = replace(limits(gossip=True), agents=5, needs_watch=True)
@@ -185,3 +188,12 @@
     assert restrictions.believed(20) == {2}
     restrictions.clear()
     assert not restrictions.believed(20)
+
+
+def test_an_agent_whose_configuration_names_no_peers_has_none_to_wait_for() -> None:
+    told = configured(instance("s-1", Address("127.0.0.1", 9)))
+    several = replace(told.settings, agents=3, limits=replace(told.settings.limits, gossip=True))
+    assert not AgentOnSockets(replace(told, settings=several)).engine.lease.has_peers
+    peers = tuple(Address("127.0.0.1", port) for port in (7, 8, 9))
+    linked = replace(told, settings=several, peer_listen=peers[0], peers=peers)
+    assert AgentOnSockets(linked).engine.lease.has_peers
--- a/tests/test_stale_lists.py
+++ b/tests/test_stale_lists.py
@@ -12,7 +12,7 @@
 from frostfall.bench.fault_soak.oracle import Oracle, Rule
 from frostfall.bench.fault_soak.plan import Plan
 from frostfall.bench.fault_soak.play import Soak
-from frostfall.bench.fault_soak.records import SoakRecords
+from frostfall.bench.fault_soak.records import AttemptRecord, SoakRecords
 
 AGENTS = 24
 SERVERS = 8
@@ -58,6 +58,11 @@
     records, past_grace = play(crowd_plan(), tmp_path / "agents")
     assert len([attempt for attempt in records.attempts if attempt.ran]) > 1000
     assert past_grace == []
+    # The oracle finds a single send that is planted among them.
+    last = max(records.requests, key=lambda record: record.written_at)
+    records.attempts.append(AttemptRecord(last.request_id, "s-0", last.written_at + 0.01, ran=True))
+    (found,) = (each for each in Oracle(records).findings() if each.rule is Rule.FORWARDED_PAST_GRACE)
+    assert found.subject == last.request_id
 
 
 @pytest.mark.parametrize("restart_at", [12.8])
