--- a/frostfall/bench/fault_soak/datagrams.py
+++ b/frostfall/bench/fault_soak/datagrams.py
@@ -9,7 +9,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from frostfall.bench.fault_soak.crowd import DatagramFaults
+from frostfall.bench.fault_soak.thundering_herd import DatagramFaults
 from frostfall.config import Address
 
 HOST = "127.0.0.1"
--- a/frostfall/bench/fault_soak/services.py
+++ b/frostfall/bench/fault_soak/services.py
@@ -50,7 +50,7 @@
         self._lock = anyio.Lock()
         self.refused = 0
 
-    async def take_turn(self) -> bool:
+    async def acquire(self) -> bool:
         """Whether the call had its turn."""
         with anyio.move_on_after(self._patience_seconds) as waiting:
             await self._lock.acquire()
@@ -75,7 +75,9 @@
     _entries: dict[str, dict[str, Any]] = field(default_factory=dict)
     _changes: list[tuple[int, dict[str, Any]]] = field(default_factory=list)
     _changed: anyio.Event = field(default_factory=anyio.Event)
-    _held: dict[str, int] = field(default_factory=dict)  # by agent: the generation it was written last
+    _last_generations: dict[str, int] = field(
+        default_factory=dict
+    )  # by agent: the generation it was written last
 
     def change(self, *entries: dict[str, Any]) -> None:
         """Take over new states of servers."""
@@ -102,16 +104,16 @@
         """The complete list."""
         return {"generation": self.generation, "reset": True, "instances": list(self._entries.values())}
 
-    def listing_held_by(self, agent: str) -> dict[str, Any]:
+    def last_list_of(self, agent: str) -> dict[str, Any]:
         """The complete list as this agent had it last."""
-        held = self._held.get(agent, self.generation)
+        held = self._last_generations.get(agent, self.generation)
         latest = {entry["instanceId"]: entry for number, entry in self._changes if number <= held}
         listed = [entry for entry in latest.values() if entry["lifecycle"] != "terminated"]
         return {"generation": held, "reset": True, "instances": listed}
 
     def note_initial_list(self, agent: str) -> None:
         """An agent's first configuration holds the list as it is now."""
-        self._held[agent] = self.generation
+        self._last_generations[agent] = self.generation
 
     async def play(self, mode: DiscoveryMode, seconds: float) -> None:
         """Go wrong for a while."""
@@ -142,7 +144,7 @@
             if call is None or self._ends_connections:
                 stream.reset_on_close()
                 return
-            if is_first_call and self.queue and not await self.queue.take_turn():
+            if is_first_call and self.queue and not await self.queue.acquire():
                 await stream.send(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
                 return
             is_first_call = False
@@ -187,7 +189,7 @@
         await stream.send(head.encode() + body)
         entries = answer["instances"]
         if arrives:
-            self._held[agent] = answer["generation"]
+            self._last_generations[agent] = answer["generation"]
         self._note(agent, [each for each in entries if arrives or each["lifecycle"] == IN_SERVICE])
 
     def note_complete_list(self, agent: str) -> None:
--- a/frostfall/bench/fault_soak/crowd.py
+++ b/frostfall/bench/fault_soak/thundering_herd.py
@@ -31,7 +31,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Crowd:
+class ThunderingHerd:
     """The schedule of one crowd."""
 
     outage_at: float
@@ -45,12 +45,12 @@
     datagrams: DatagramFaults
 
 
-def draw(source: random.Random, agents: int, servers: int) -> Crowd:
+def draw(source: random.Random, agents: int, servers: int) -> ThunderingHerd:
     """The crowd of a seed, by its source of random numbers."""
     outage_seconds = source.uniform(2.0, 4.0)
     back_at = OUTAGE_AT_SECONDS + outage_seconds
     changed = source.sample(range(servers), max(servers // 3, 1))
-    return Crowd(
+    return ThunderingHerd(
         outage_at=OUTAGE_AT_SECONDS,
         outage_seconds=outage_seconds,
         changes=tuple(
--- a/frostfall/engine/policy_engine.py
+++ b/frostfall/engine/policy_engine.py
@@ -119,7 +119,7 @@
     def _server_list_updated(self, now: Microseconds, event: api.ServerListUpdated) -> list[api.Action]:
         if event.kind is ServerListKind.FAILED:
             self.lease.watch_ended(now)
-            self.watch.failed(now, is_urgent=not self._peers_have_word(now))
+            self.watch.failed(now, is_urgent=not self._peers_vouch(now))
             return list(self.list_gossip.report(now))
         is_cached = event.kind is ServerListKind.CACHED  # which nobody was asked for
         if is_cached:
@@ -143,7 +143,7 @@
         is_new = event.reason is WatchInterruption.NOT_OPEN
         return [] if is_new else list(self.list_gossip.report(now))
 
-    def _peers_have_word(self, now: Microseconds) -> bool:
+    def _peers_vouch(self, now: Microseconds) -> bool:
         return self.lease.source is api.ListSource.PEER and self.lease.state(now) is LeaseState.HELD
 
     def _regroup(self) -> None:
@@ -209,7 +209,7 @@
             return []
         had_word, withdrawn = self.lease.state(now) is LeaseState.HELD, self.server_list.withdrawn
         told = self.list_gossip.receive(now, event.sender, event.text)
-        if not had_word and self._peers_have_word(now):
+        if not had_word and self._peers_vouch(now):
             self.watch.defer(now)
         if withdrawn != self.server_list.withdrawn:
             self._regroup()
--- a/frostfall/gossip/list_messages.py
+++ b/frostfall/gossip/list_messages.py
@@ -20,11 +20,11 @@
 QUERY_PREFIX = ":q"
 UPDATE_PREFIX = ":u"
 MAX_CHARS = 256  # of a message
-MAX_PARTS = 255  # of an update
+MAX_FRAGMENTS = 255  # of an update
 MAX_GENERATION = 0xFFFFFFFF
 
-_QUERY = struct.Struct("<HIB")  # nonce; generation; first part
-_HEADER = struct.Struct("<HIIHBBB")  # nonce; since; generation; age; part; parts; flags
+_QUERY = struct.Struct("<HIB")  # nonce; generation; first fragment
+_HEADER = struct.Struct("<HIIHBBB")  # nonce; since; generation; age; fragment; fragments; flags
 _ENTRY = struct.Struct("<IH")  # key and state; fingerprint
 _STATE_BITS = 2
 _STATE_MASK = (1 << _STATE_BITS) - 1
@@ -35,7 +35,7 @@
 _CONFIRMED = 1
 
 _BODY_BYTES = (MAX_CHARS - len(UPDATE_PREFIX)) // 5 * 4  # base 85 takes 5 characters for 4 bytes
-ENTRIES_PER_PART = (_BODY_BYTES - _HEADER.size) // _ENTRY.size
+ENTRIES_PER_FRAGMENT = (_BODY_BYTES - _HEADER.size) // _ENTRY.size
 
 
 class ListedState(IntEnum):
@@ -68,19 +68,19 @@
 
     nonce: int  # which the update repeats
     generation: int
-    first_part: int = 0  # of the update that is wanted
+    first_fragment: int = 0  # of the update that is wanted
 
 
 @dataclass(frozen=True, slots=True)
 class ListUpdate:
-    """One part of all that changed after `since` up to `generation`."""
+    """One fragment of all that changed after `since` up to `generation`."""
 
     nonce: int  # of the query; 0 where nobody asked
     since: int
     generation: int
     age: Microseconds | None  # since discovery vouched for this generation; None: it never did
-    part: int
-    parts: int
+    fragment: int
+    fragments: int
     is_confirmed: bool  # the sender has it from discovery itself, or from a quorum of agents that say this
     entries: tuple[ChangedEntry, ...]
 
@@ -107,15 +107,15 @@
 
 def encode_query(query: ListQuery) -> str:
     """The query as text."""
-    return QUERY_PREFIX + b85encode(_QUERY.pack(query.nonce, query.generation, query.first_part)).decode()
+    return QUERY_PREFIX + b85encode(_QUERY.pack(query.nonce, query.generation, query.first_fragment)).decode()
 
 
 def encode_update(update: ListUpdate) -> str:
-    """The update as text; it holds `ENTRIES_PER_PART` entries at most."""
+    """The update as text; it holds `ENTRIES_PER_FRAGMENT` entries at most."""
     age = _NO_AGE if update.age is None else min(max(update.age, 0) // _AGE_UNIT, _NO_AGE - 1)
     flags = _CONFIRMED if update.is_confirmed else 0
     header = _HEADER.pack(
-        update.nonce, update.since, update.generation, age, update.part, update.parts, flags
+        update.nonce, update.since, update.generation, age, update.fragment, update.fragments, flags
     )
     entries = (
         _ENTRY.pack(entry.key << _STATE_BITS | entry.state, entry.fingerprint) for entry in update.entries
@@ -138,8 +138,8 @@
 
 
 def _decode_update(data: bytes) -> ListUpdate | None:
-    nonce, since, generation, age, part, parts, flags = _HEADER.unpack_from(data)
-    if since > generation or part >= parts:
+    nonce, since, generation, age, fragment, fragments, flags = _HEADER.unpack_from(data)
+    if since > generation or fragment >= fragments:
         return None
     entries: Sequence[ChangedEntry] = [
         ChangedEntry(packed >> _STATE_BITS, ListedState(packed & _STATE_MASK), mark)
@@ -150,8 +150,8 @@
         since=since,
         generation=generation,
         age=None if age == _NO_AGE else age * _AGE_UNIT,
-        part=part,
-        parts=parts,
+        fragment=fragment,
+        fragments=fragments,
         is_confirmed=bool(flags & _CONFIRMED),
         entries=tuple(entries),
     )
--- a/frostfall/policy/list_gossip.py
+++ b/frostfall/policy/list_gossip.py
@@ -14,9 +14,9 @@
 from frostfall import interface as api
 from frostfall.gossip.change_history import ChangeHistory
 from frostfall.gossip.list_messages import (
-    ENTRIES_PER_PART,
+    ENTRIES_PER_FRAGMENT,
+    MAX_FRAGMENTS,
     MAX_GENERATION,
-    MAX_PARTS,
     ChangedEntry,
     ListedState,
     ListQuery,
@@ -38,12 +38,12 @@
 QUERIES_PER_TURN = 2  # peers asked in a turn while nobody's word is fresh ...
 REFRESH_PERIOD = 1_000_000  # us between queries once it is; a lease takes several of them
 MAX_UPDATES_PER_TURN = 32  # datagrams by which others are answered
-MAX_PARTS_PER_QUERY = 16  # datagrams that one query is answered by
+MAX_FRAGMENTS_PER_QUERY = 16  # datagrams that one query is answered by
 RECENT_QUERY = 1_500_000  # us for which a peer that asked is told what changes
 MAX_ASKERS = 64  # that are remembered for that
 MAX_NONCES = 256  # queries whose time is remembered
 NONCE_MASK = 0xFFFF
-PARTIAL_QUERIES = 5  # to one peer for the missing parts of its update, until that is given up
+PARTIAL_QUERIES = 5  # to one peer for the missing fragments of its update, until that is given up
 
 
 class DropReason(Enum):
@@ -66,29 +66,31 @@
 
 @dataclass(slots=True)
 class _Partial:
-    """The parts of one peer's update that have come."""
+    """The fragments of one peer's update that have come."""
 
     since: int
     generation: int
-    parts: int
-    asked_at: Microseconds  # of the earliest query that any part answers
-    entries: dict[int, tuple[ChangedEntry, ...]] = field(default_factory=dict)  # by part
+    fragments: int
+    asked_at: Microseconds  # of the earliest query that any fragment answers
+    entries: dict[int, tuple[ChangedEntry, ...]] = field(default_factory=dict)  # by fragment
     queries_left: int = PARTIAL_QUERIES
 
     def first_missing(self) -> int:
-        """The number of the first part that has not come."""
-        return next((part for part in range(self.parts) if part not in self.entries), self.parts)
+        """The number of the first fragment that has not come."""
+        return next(
+            (fragment for fragment in range(self.fragments) if fragment not in self.entries), self.fragments
+        )
 
     def add(self, update: ListUpdate, asked_at: Microseconds) -> bool:
-        """Take in a part; whether that was the last one missing."""
+        """Take in a fragment; whether that was the last one missing."""
         self.asked_at = min(self.asked_at, asked_at)
-        self.entries[update.part] = update.entries
-        return len(self.entries) == self.parts
+        self.entries[update.fragment] = update.entries
+        return len(self.entries) == self.fragments
 
     def all_entries(self) -> Iterator[ChangedEntry]:
-        """The entries of all parts, in order."""
-        for part in range(self.parts):
-            yield from self.entries[part]
+        """The entries of all fragments, in order."""
+        for fragment in range(self.fragments):
+            yield from self.entries[fragment]
 
 
 class ListGossip:
@@ -168,7 +170,7 @@
         yield from self.report(now)
 
     def _ask(self, now: Microseconds, count: int) -> Iterator[api.SendGossip]:
-        """Ask a few peers; first those of whose update some parts are missing."""
+        """Ask a few peers; first those of whose update some fragments are missing."""
         chosen = list(self._partials)[:count]
         for peer in chosen:
             partial = self._partials[peer]
@@ -188,8 +190,8 @@
         if len(self._query_times) > MAX_NONCES:
             del self._query_times[next(iter(self._query_times))]
         partial = self._partials.get(peer)
-        first_part = partial.first_missing() if partial else 0
-        return api.SendGossip(peer, encode_query(ListQuery(nonce, self._generation, first_part)))
+        first_fragment = partial.first_missing() if partial else 0
+        return api.SendGossip(peer, encode_query(ListQuery(nonce, self._generation, first_fragment)))
 
     # ---- answering ---------------------------------------------------------------------------------
 
@@ -211,12 +213,14 @@
         yield from self._updates(now, peer, query)
 
     def _updates(self, now: Microseconds, peer: int, query: ListQuery) -> Iterator[api.Action]:
-        """The parts of what has changed since a peer's list, as many as the turn still allows."""
+        """The fragments of what has changed since a peer's list, as many as the turn still allows."""
         latest = {entry.key: entry for entry in self._history.since(query.generation)}
         latest.update({entry.key: entry for entry in self._hearsay.since(query.generation)})
         entries = list(latest.values())
-        groups = [entries[at : at + ENTRIES_PER_PART] for at in range(0, len(entries), ENTRIES_PER_PART)]
-        groups = groups[:MAX_PARTS] or [[]]
+        groups = [
+            entries[at : at + ENTRIES_PER_FRAGMENT] for at in range(0, len(entries), ENTRIES_PER_FRAGMENT)
+        ]
+        groups = groups[:MAX_FRAGMENTS] or [[]]
         vouched_at = self._lease.vouched_at
         can_compare = vouched_at is not None and self._generation > 0
         whole = ListUpdate(
@@ -224,17 +228,21 @@
             since=min(max(query.generation, self._history.base), self.generation),
             generation=self.generation,
             age=now - vouched_at if vouched_at is not None and can_compare else None,
-            part=0,
-            parts=len(groups),
+            fragment=0,
+            fragments=len(groups),
             is_confirmed=self._is_confirmed,
             entries=(),
         )
-        for part in range(query.first_part, min(len(groups), query.first_part + MAX_PARTS_PER_QUERY)):
+        for fragment in range(
+            query.first_fragment, min(len(groups), query.first_fragment + MAX_FRAGMENTS_PER_QUERY)
+        ):
             if self._updates_left <= 0:
                 self.dropped[DropReason.OVER_BUDGET] += 1
                 return
             self._updates_left -= 1
-            yield api.SendGossip(peer, encode_update(replace(whole, part=part, entries=tuple(groups[part]))))
+            yield api.SendGossip(
+                peer, encode_update(replace(whole, fragment=fragment, entries=tuple(groups[fragment])))
+            )
 
     def _tell_askers(self, now: Microseconds) -> Iterator[api.Action]:
         """Tell the peers that have asked lately what has changed since their lists."""
@@ -299,12 +307,12 @@
         return self._servers_by_key
 
     def _assemble(self, peer: int, update: ListUpdate, asked_at: Microseconds) -> _Partial | None:
-        """All that changed since the list here, once every part of it has come from this peer."""
+        """All that changed since the list here, once every fragment of it has come from this peer."""
         if update.since > self._generation:
             return None  # the peer does not know what came before
-        key = (update.since, update.generation, update.parts)
+        key = (update.since, update.generation, update.fragments)
         partial = self._partials.pop(peer, None)
-        if partial is None or (partial.since, partial.generation, partial.parts) != key:
+        if partial is None or (partial.since, partial.generation, partial.fragments) != key:
             partial = _Partial(*key, asked_at)
         if partial.add(update, asked_at):
             return partial
