--- a/frostfall/net/agent.py
+++ b/frostfall/net/agent.py
@@ -226,6 +226,10 @@
 
         All else needs a restart, which is logged.
         """
+        with log.bind_agent_name(self.config.name):
+            self._reload(config)
+
+    def _reload(self, config: Config) -> None:
         plan = plan_reload(self.config, config, has_rollout_client=self.rollout_client is not None)
         if self.rollout_client and plan.rollout_address:
             self.rollout_client.set_address(plan.rollout_address)
@@ -236,8 +240,7 @@
             self.clients.check_all()
         self._trace.enabled = plan.config.options.logging.requests
         self.config = plan.config
-        with log.bind_agent_name(self.config.name):
-            _log.info("reloaded", moved=plan.moved, needs_restart=plan.needs_restart)
+        _log.info("reloaded", moved=plan.moved, needs_restart=plan.needs_restart)
 
     async def run(self, ready: Callable[[], None] | None = None) -> None:
         """Serve until stopped; `ready` is called once clients can connect. OSError where they cannot.
