--- a/frostfall/policy/list_gossip.py
+++ b/frostfall/policy/list_gossip.py
@@ -55,6 +55,16 @@
     OVER_BUDGET = "more queries than are answered in a turn"
 
 
+@dataclass(frozen=True, slots=True)
+class _Summary:
+    """What is reported when it changes."""
+
+    generation: int
+    source: ListSource
+    state: LeaseState
+    withdrawn: int
+
+
 @dataclass(frozen=True, slots=True)
 class _Asker:
     """A peer whose watch does not stand."""
@@ -116,7 +126,7 @@
         self._partials: dict[int, _Partial] = {}  # by peer
         self._next_query_at: Microseconds = 0
         self._updates_left = MAX_UPDATES_PER_TURN
-        self._reported: tuple[int, ListSource, LeaseState, int] | None = None
+        self._reported: _Summary | None = None
         self.dropped = Counter[DropReason]()
 
     @property
@@ -134,6 +144,8 @@
             self._generation = generation
             self._history.start(generation)
             self._hearsay.start(generation)
+            if self._lease.watch_stands:  # as lists are pushed: there is nothing to report before a change
+                self._reported = self._summary(now)
             return self._first_queries(now)
         before, self._generation = self.generation, generation
         self._restrictions.clear()
@@ -323,20 +335,22 @@
 
     def report(self, now: Microseconds) -> Iterator[api.ReportServerList]:
         """Report the state of the list where it has changed since the last report."""
-        state = self._lease.state(now)
-        summary = (self.generation, self._lease.source, state, self._servers.withdrawn)
+        summary = self._summary(now)
         if summary == self._reported:
             return
         self._reported = summary
         vouched_at = self._lease.vouched_at
         yield api.ReportServerList(
-            generation=self.generation,
-            source=self._lease.source,
-            lease=state.name.lower(),
+            generation=summary.generation,
+            source=summary.source,
+            lease=summary.state.name.lower(),
             age=None if vouched_at is None else now - vouched_at,
-            withdrawn=self._servers.withdrawn,
+            withdrawn=summary.withdrawn,
         )
 
+    def _summary(self, now: Microseconds) -> _Summary:
+        return _Summary(self.generation, self._lease.source, self._lease.state(now), self._servers.withdrawn)
+
 
 def _differs(old: api.Server, new: api.Server) -> bool:
     return (old.availability, old.build, old.started_at) != (new.availability, new.build, new.started_at)
