--- a/frostfall/net/streams.py
+++ b/frostfall/net/streams.py
@@ -21,8 +21,9 @@
 LISTEN_BACKLOG = 512  # connections: a burst while the one core is busy elsewhere
 CONNECT_TIMEOUT_SECONDS = 1.0  # to services; upstream servers have a timeout in the settings
 SHORTAGE_PAUSE_SECONDS = 0.01  # before a call is made again for which the kernel had no memory
-LISTEN_PATIENCE_SECONDS = 5.0  # for a listening socket, while the machine is short of resources
-_LISTEN_SHORTAGES = (errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM)
+LISTEN_PATIENCE_SECONDS = 5.0  # for a listening socket, while the machine is short of resources ...
+# ... or the process before this one still holds the address, as it does for a part of its drain.
+_LISTEN_SHORTAGES = (errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRINUSE)
 _SHORTAGES = (errno.ENOBUFS, errno.ENOMEM, errno.EINTR)  # of the machine: they say nothing of the connection
 _INT = struct.Struct("i")
 _SIOCOUTQ = termios.TIOCOUTQ  # bytes not acknowledged: tcp(7)
@@ -205,7 +206,7 @@
 
 
 async def open_listener_patiently(address: Address) -> socket.socket:
-    """A listening socket, once the machine has the resources for it; OSError where that cannot be."""
+    """A listening socket, once the resources and the address are free; OSError where that cannot be."""
     give_up_at = anyio.current_time() + LISTEN_PATIENCE_SECONDS
     while True:
         try:
