--- a/frostfall/engine/policy_engine.py
+++ b/frostfall/engine/policy_engine.py
@@ -246,4 +246,5 @@
             if incarnation in avoided:
                 server.ejected_until = max(server.ejected_until, now + duration)
         if test:
+            self.lifecycle.record_overdue(now)
             self.rollout_test.end_round(now, test)
--- a/frostfall/engine/request_lifecycle.py
+++ b/frostfall/engine/request_lifecycle.py
@@ -90,6 +90,13 @@
         self._placement.admission.record_outcome(request, attempt, event)
         self._rollout_test.record_outcome(request, attempt, event)
 
+    def record_overdue(self, now: Microseconds) -> None:
+        """Let the rollout's test count the attempts in flight that can only be answered late."""
+        for request in self.by_name.values():
+            for attempt in request.attempts:
+                if attempt.outcome is None:
+                    self._rollout_test.record_overdue(now, request, attempt)
+
     def timer_fired(self, now: Microseconds, event: api.TimerFired) -> Iterator[api.Action]:
         """Try to place the requests that wait, or answer the one whose deadline comes."""
         if event.token == WAITING_TIMER:
--- a/frostfall/mechanisms/sequential_test.py
+++ b/frostfall/mechanisms/sequential_test.py
@@ -41,6 +41,16 @@
     missed_exchanges: float = 0.0
     trial_failures: float = 0.0
 
+    @property
+    def timed(self) -> float:
+        """Answers of both builds whose time counts, in this round."""
+        return self.baseline_timed + self.trial_timed
+
+    @property
+    def late(self) -> float:
+        """The late ones among them."""
+        return self.baseline_late + self.trial_late
+
     def averaged(self, other: RoundTotals) -> RoundTotals:
         """The mean of two agents' totals."""
         return RoundTotals._make([(own + theirs) / 2 for own, theirs in zip(self, other)])
@@ -76,6 +86,15 @@
         self.baseline_timed += late is not None
         self.baseline_late += late or False
 
+    def add_overdue(self, *, on_trial: bool) -> None:
+        """Count an attempt that is out for so long that its answer will be late."""
+        if on_trial:
+            self.trial_timed += 1
+            self.trial_late += 1
+        else:
+            self.baseline_timed += 1
+            self.baseline_late += 1
+
     def add_trial(self, *, failed: bool, late: bool | None) -> None:
         """Count an outcome of the build under test; `late` is None where its time does not count."""
         self.outcomes += 1
@@ -104,6 +123,9 @@
     recent_timed: float = 0.0  # answers of the baseline whose time counts, fading
     recent_late: float = 0.0
     position: float = 0.0  # of the worst score in its band, from -1 (roll back) to 1
+    calm_score: float = 0.0  # of all answers against calmer times: a CUSUM, from its band's lower bound to 0
+    calm_position: float = 0.0  # of that score in its band, from -1 to 0
+    slows_all: bool = False  # whether all servers are slow just now, so that the stage is not left
     verdict: Verdict = Verdict.NONE
     decided_at: Microseconds = 0
 
@@ -179,6 +201,11 @@
         scores = Scores._make([min(score, band.upper) for score, band in zip(scores, bands)])
         self.scores = Scores._make([min(score, 0.0) for score in scores]) if self.key.is_released else scores
 
+    def judge_calm(self, evidence: float, band: Band) -> None:
+        """Add a round's evidence on all answers against calmer times, held within its band."""
+        self.calm_score = min(max(self.calm_score + evidence, band.lower), 0.0)
+        self.calm_position = band.position(self.calm_score)
+
     def begin_round(
         self, *, baseline_retention: float, excused: float, served_per_server: float, missed: int
     ) -> None:
--- a/frostfall/mechanisms/sprt.py
+++ b/frostfall/mechanisms/sprt.py
@@ -39,6 +39,10 @@
         """The log-likelihood ratio of one outcome; below zero speaks for p0 + margin."""
         return log_likelihood_ratio(bad, self.p0, self.margin)
 
+    def evidence_of_counts(self, total: float, bad: float) -> float:
+        """The log-likelihood ratio of so many outcomes, of which so many were bad."""
+        return (total - bad) * self.evidence(False) + bad * self.evidence(True)
+
     @property
     def divergence(self) -> float:
         """The mean evidence of one outcome if p0 + margin is true."""
--- /dev/null
+++ b/frostfall/model/rollouts.py
@@ -0,0 +1,200 @@
+"""Rollouts of one build in virtual time, for the error rates of their test; deterministic for a seed.
+
+One `RolloutTest` stands for a fleet whose rounds mix perfectly: in each round it is given the mean of what
+all agents saw. A platform leaves a stage once votes to advance stand and the stage has lasted its time. There
+are no servers: an answer is late with a probability that depends on the time, the build and the stage.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from dataclasses import dataclass, field, replace
+from enum import Enum
+
+from frostfall import interface as api
+from frostfall.interface import RolloutPhase, Verdict
+from frostfall.mechanisms.fleet_statistics import FleetStatistics
+from frostfall.mechanisms.mixing import ExchangeSchedule
+from frostfall.mechanisms.sequential_test import Innovations
+from frostfall.mechanisms.server_list import ServerList
+from frostfall.model.event_queue import SECOND, Micros
+from frostfall.policy.learning import STATISTICS, UNREACHABLE_EJECTION
+from frostfall.policy.rollout_test import EXCHANGE_PERIOD, RolloutTest
+from frostfall.shared_health.server_health import SharedHealth
+
+AGENTS = 200
+REQUEST_RATE = 400.0  # a second, over all agents
+STAGE_CAPS = (0.08, 0.25, 1.0)  # share of the requests that the build under test gets
+STAGE_DURATION: Micros = 3 * SECOND  # that a stage lasts at least on the platform
+VOTE_DELAY: Micros = 300_000  # until enough agents have voted
+TIMELY_ANSWER: Micros = 200_000
+LATE_ANSWER: Micros = 900_000  # after which an answer is known to be late
+QUIET_BEFORE: Micros = 5 * SECOND  # before the build is offered
+OBSERVED_AFTER: Micros = 30 * SECOND  # after it was offered; a rollout without delay takes ten seconds
+OLD_BUILD, NEW_BUILD = 1, 2
+START: Micros = 1_000 * SECOND
+
+
+class Fault(Enum):
+    """What is the matter in a rollout."""
+
+    NONE = "a good build"
+    SHARED_SLOWDOWN = "a good build, and a slowdown of all servers that ends by itself"
+    SLOWS_ITS_OWN = "a build whose own answers are late"
+    SLOWS_ALL = "a build that makes all answers late from a stage on"
+    SOURS = "a build that makes all answers late some time after its release"
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """One rollout; times are counted from the offer of the build."""
+
+    fault: Fault
+    begins: Micros = 0  # of a slowdown, or how long after the release the build sours
+    duration: Micros = 0  # of a slowdown
+    first_stage: int = 0  # from which on a build slows all servers
+    calm_late_share: float = 0.08
+    late_share: float = 0.5  # while something is the matter
+
+    @property
+    def is_good(self) -> bool:
+        """Whether the build should be released."""
+        return self.fault in (Fault.NONE, Fault.SHARED_SLOWDOWN)
+
+
+@dataclass(slots=True)
+class RolloutResult:
+    """How a rollout went; times are counted from the offer of the build."""
+
+    released_at: Micros | None = None
+    rolled_back_at: Micros | None = None
+    onset_at: Micros | None = None  # of lateness, in a bad build
+    max_cap: float = 0.0
+
+
+@dataclass(order=True, slots=True)
+class _Answer:
+    """What becomes known of one request."""
+
+    known_at: Micros
+    on_trial: bool = field(compare=False)
+    late: bool = field(compare=False)
+
+
+class SimulatedRollout:
+    """One rollout from its offer to the end of the time that is observed."""
+
+    def __init__(self, scenario: Scenario, settings: api.Settings, seed: int) -> None:
+        """Of a fleet with these settings but for the number of agents."""
+        self._scenario = scenario
+        self._random = random.Random(seed)
+        self._now: Micros = START
+        self._offered_at = START + QUIET_BEFORE
+        self._schedule = ExchangeSchedule(0, AGENTS, EXCHANGE_PERIOD)
+        servers = ServerList(self._random, ejection=UNREACHABLE_EJECTION)
+        self._test = RolloutTest(
+            replace(settings, agents=AGENTS),
+            self._schedule,
+            SharedHealth(AGENTS, self._schedule.exchanges),
+            FleetStatistics(STATISTICS, servers),
+        )
+        self._answers: list[_Answer] = []
+        self._state = api.RolloutState(OLD_BUILD, 0, RolloutPhase.RELEASED, 1.0, 0, api.VoteReply.NONE)
+        self._stage_began: Micros = START
+        self._result = RolloutResult()
+
+    def run(self) -> RolloutResult:
+        """Play it."""
+        self._test.update(self._now, self._state)
+        end = self._offered_at + OBSERVED_AFTER
+        while self._now < end and self._result.rolled_back_at is None:
+            self._play_round()
+            self._follow_votes()
+        return self._result
+
+    # ---- the fleet ---------------------------------------------------------------------------------
+
+    def _play_round(self) -> None:
+        duration = self._schedule.round_duration
+        end, at = self._now + duration, float(self._now)
+        while (at := at + self._random.expovariate(REQUEST_RATE) * SECOND) < end:
+            self._serve(int(at))
+        self._now = end
+        test = self._test.test
+        if test is None:
+            return
+        while self._answers and self._answers[0].known_at <= end:
+            self._record(test.fresh, heapq.heappop(self._answers))
+        _share_among_agents(test.fresh)
+        test.turns = test.exchanges = self._schedule.exchanges
+        self._test.end_round(self._now, test)
+
+    def _serve(self, at: Micros) -> None:
+        on_trial = self._state.build == NEW_BUILD and self._random.random() < self._state.cap
+        late = self._random.random() < self._late_share(at, on_trial)
+        delay = LATE_ANSWER if late else TIMELY_ANSWER
+        heapq.heappush(self._answers, _Answer(at + delay, on_trial, late))
+
+    def _record(self, fresh: Innovations, answer: _Answer) -> None:
+        if self._state.build != NEW_BUILD or answer.on_trial:
+            fresh.add_trial(failed=False, late=answer.late)
+        else:
+            fresh.add_baseline(failed=False, late=answer.late)
+
+    def _late_share(self, at: Micros, on_trial: bool) -> float:
+        scenario = self._scenario
+        is_affected = {
+            Fault.NONE: False,
+            Fault.SHARED_SLOWDOWN: 0 <= at - self._offered_at - scenario.begins < scenario.duration,
+            Fault.SLOWS_ITS_OWN: on_trial,
+            Fault.SLOWS_ALL: self._slows_all(),
+            Fault.SOURS: self._has_soured(at),
+        }[scenario.fault]
+        if is_affected and not scenario.is_good and self._result.onset_at is None:
+            self._result.onset_at = at - self._offered_at
+        return scenario.late_share if is_affected else scenario.calm_late_share
+
+    def _slows_all(self) -> bool:
+        state = self._state
+        if state.build != NEW_BUILD:
+            return False
+        return state.phase is RolloutPhase.RELEASED or state.stage >= self._scenario.first_stage
+
+    def _has_soured(self, at: Micros) -> bool:
+        released_at = self._result.released_at
+        return released_at is not None and at - self._offered_at >= released_at + self._scenario.begins
+
+    # ---- the platform ------------------------------------------------------------------------------
+
+    def _follow_votes(self) -> None:
+        if self._state.build == OLD_BUILD:
+            if self._now >= self._offered_at:
+                self._move(NEW_BUILD, 0, RolloutPhase.TRIAL)
+            return
+        test = self._test.test
+        if test is None or self._now < test.decided_at + VOTE_DELAY:
+            return
+        if test.verdict is Verdict.BACK:
+            self._result.rolled_back_at = self._now - self._offered_at
+        elif test.verdict is Verdict.ON and self._now >= self._stage_began + STAGE_DURATION:
+            self._advance()
+
+    def _advance(self) -> None:
+        if self._state.stage + 1 < len(STAGE_CAPS):
+            self._move(NEW_BUILD, self._state.stage + 1, RolloutPhase.TRIAL)
+        else:
+            self._result.released_at = self._now - self._offered_at
+            self._move(NEW_BUILD, self._state.stage, RolloutPhase.RELEASED)
+
+    def _move(self, build: int, stage: int, phase: RolloutPhase) -> None:
+        self._stage_began = self._now
+        self._state = api.RolloutState(build, stage, phase, STAGE_CAPS[stage], 0, api.VoteReply.NONE)
+        self._result.max_cap = STAGE_CAPS[stage]
+        self._test.update(self._now, self._state)
+
+
+def _share_among_agents(fresh: Innovations) -> None:
+    """Turn sums over all agents into their mean."""
+    for name in Innovations.__dataclass_fields__:
+        setattr(fresh, name, getattr(fresh, name) / AGENTS)
--- a/frostfall/records.py
+++ b/frostfall/records.py
@@ -104,6 +104,7 @@
     sent_at: Microseconds
     relative_load: float = 1.0  # how much more the server had to do than others when it was sent
     outcome: Outcome | None = None
+    timing_judged: bool = False  # whether it counts as late in the running test, before its end
 
     @property
     def may_have_run(self) -> bool:
