--- a/frostfall/bench/fault_soak/services.py
+++ b/frostfall/bench/fault_soak/services.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from email.utils import formatdate
 from enum import Enum
 from time import monotonic
 from typing import Any
@@ -185,8 +186,13 @@
             latest = {entry["instanceId"]: entry for number, entry in self._changes if number > since}
             answer = {"generation": self.generation, "reset": False, "instances": list(latest.values())}
         body = msgspec.json.encode(answer)
-        head = f"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
-        await stream.send(head.encode() + body)
+        fields = [
+            "HTTP/1.1 200 OK",
+            f"Date: {formatdate(usegmt=True)}",
+            "Content-Type: application/json",
+            f"Content-Length: {len(body)}",
+        ]
+        await stream.send("\r\n".join([*fields, "", ""]).encode() + body)
         entries = answer["instances"]
         if arrives:
             self._last_generations[agent] = answer["generation"]
--- a/frostfall/engine/policy_engine.py
+++ b/frostfall/engine/policy_engine.py
@@ -66,6 +66,7 @@
             api.TimerFired: self._timer_fired,
             api.GossipReceived: self._gossip_received,
             api.ServerListUpdated: self._server_list_updated,
+            api.DiscoveryTimeRead: self._discovery_time_read,
             api.WatchInterrupted: self._watch_interrupted,
             api.RolloutState: self._rollout_moved,
             api.HealthCheckEnded: self._health_check_ended,
@@ -134,6 +135,9 @@
         self._regroup()
         return told if is_cached else [*told, *self.list_gossip.report(now)]
 
+    def _discovery_time_read(self, now: Microseconds, event: api.DiscoveryTimeRead) -> None:
+        self.server_list.discovery_time_read(now, event.time)
+
     def _watch_interrupted(self, now: Microseconds, event: api.WatchInterrupted) -> list[api.Action]:
         if event.reason is WatchInterruption.MOVED:
             self.lease.watch_moved(now)
--- a/frostfall/interface.py
+++ b/frostfall/interface.py
@@ -140,6 +140,13 @@
     generation: int = 0  # of the list, by which agents compare theirs
 
 
+@dataclass(frozen=True, slots=True)
+class DiscoveryTimeRead:
+    """Discovery has told the time by its own clock, to about a second; an update of the list may follow."""
+
+    time: Microseconds
+
+
 @dataclass(frozen=True, slots=True)
 class WatchInterrupted:
     """Changes of the server list may be missed from now on, until it is updated again."""
@@ -275,6 +282,7 @@
     | ServerDegraded
     | AnswerDue
     | WatchInterrupted
+    | DiscoveryTimeRead
 )
 
 # ---- actions -----------------------------------------------------------------------------------
--- a/frostfall/mechanisms/server_list.py
+++ b/frostfall/mechanisms/server_list.py
@@ -17,6 +17,9 @@
 class StartTimes(Protocol):
     """Estimates when listed servers started, by this agent's clock."""
 
+    def discovery_time_read(self, now: Microseconds, time: Microseconds) -> bool:
+        """Discovery has told the time; whether what was estimated before has to be estimated anew."""
+
     def begin_update(self, now: Microseconds, kind: ServerListKind) -> None:
         """A list, or a change of one, is about to be taken over."""
 
@@ -58,6 +61,12 @@
         self._sort()
         return changed
 
+    def discovery_time_read(self, now: Microseconds, time: Microseconds) -> None:
+        """Discovery has told the time by its own clock: this agent's may have been off when it estimated."""
+        if self._start_times and self._start_times.discovery_time_read(now, time):
+            for server in self.by_id.values():
+                server.started_at = self._start_times.estimate(now, server.info.started_at)
+
     def withdraw(self, servers: set[int]) -> bool:
         """Take exactly these servers out of use until they are listed again; whether that is a change."""
         reinstated = self._withdrawn.keys() - servers
--- a/frostfall/net/agent.py
+++ b/frostfall/net/agent.py
@@ -113,6 +113,7 @@
             self._list_failed,
             auto_restart=not config.settings.needs_watch,
             on_interruption=self._watch_interrupted,
+            on_time=self._discovery_time_read,
         )
         self.rollout_client = self._make_rollout_client()
         self._gossip = self._make_gossip_transport()
@@ -209,6 +210,9 @@
     def _list_failed(self) -> None:
         self.post(api.ServerListUpdated(api.ServerListKind.FAILED, ()))
 
+    def _discovery_time_read(self, time: int) -> None:
+        self.post(api.DiscoveryTimeRead(time))
+
     def _watch_interrupted(self, reason: api.WatchInterruption) -> None:
         self.post(api.WatchInterrupted(reason))
 
--- a/frostfall/net/discovery.py
+++ b/frostfall/net/discovery.py
@@ -37,10 +37,12 @@
         on_failure: Callable[[], None],
         auto_restart: bool = False,
         on_interruption: Callable[[WatchInterruption], None] = lambda reason: None,
+        on_time: Callable[[int], None] = lambda time: None,
     ) -> None:
         """Watch for what is newer than generation `since`; `watch_renewal_period` is in microseconds.
 
-        `on_interruption` is called when a watch that goes on may have missed changes.
+        `on_interruption` is called when a watch that goes on may have missed changes, `on_time` before a list
+        whose answer tells the time, with microseconds of Unix time.
         """
         self._address = address
         self._since = since
@@ -48,6 +50,7 @@
         self._on_list = on_list
         self._on_failure = on_failure
         self._on_interruption = on_interruption
+        self._on_time = on_time
         self._was_silent = False  # the last call
         self._auto_restart = auto_restart
         self._requested = anyio.Event()
@@ -123,6 +126,8 @@
             if not moved:
                 self._since = answer.generation
             self._answer_count += 1
+            if watch.answered_at is not None:
+                self._on_time(watch.answered_at)
             self._on_list(answer)  # the next call has to go out within 200 ms of the answer
             if moved:
                 return "moved"
--- a/frostfall/protocol/listing.py
+++ b/frostfall/protocol/listing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from email.utils import parsedate_to_datetime
 from typing import Literal
 
 import h11
@@ -63,6 +64,7 @@
         self._http = h11.Connection(h11.CLIENT)
         self._body = Buffer(BODY_MOST)
         self._status = 0
+        self.answered_at: int | None = None  # by discovery's clock, in microseconds of Unix time, if it tells
 
     def call(self, since: int | None, wait_ms: int) -> bytes:
         """The bytes of the next call: for the whole list, or for what is newer than a version."""
@@ -83,6 +85,7 @@
                     return CallFailed("the connection was closed")
                 if isinstance(event, h11.Response):
                     self._status = event.status_code
+                    self.answered_at = _date(event)
                 elif isinstance(event, h11.Data) and not self._body.feed(bytes(event.data)):
                     return CallFailed("a list over the size limit")
                 elif isinstance(event, h11.EndOfMessage):
@@ -102,3 +105,12 @@
         if self._status != 200:
             return CallFailed(f"status {self._status}", self.reusable)
         return decode(body)
+
+
+def _date(response: h11.Response) -> int | None:
+    """The time that a response tells, in microseconds of Unix time; None where it tells none."""
+    try:
+        text = next(value for name, value in response.headers if name == b"date").decode("ascii")
+        return int(parsedate_to_datetime(text).timestamp()) * 1_000_000
+    except (StopIteration, ValueError, OverflowError):
+        return None
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -52,6 +52,22 @@
     assert isinstance(watch.feed(chunked), Listing)
 
 
+@pytest.mark.parametrize(
+    ("date", "told"),
+    [
+        ("Thu, 03 Dec 2026 06:10:00 GMT", 1_796_278_200_000_000),
+        ("Thu, 03 Dec 2026", None),
+        ("Thu, 03 Dec 9999999 06:10:00 GMT", None),
+        ("", None),
+    ],
+)
+def test_the_date_of_an_answer_is_read(date: str, told: int | None) -> None:
+    watch = asked()
+    assert watch.answered_at is None
+    watch.feed(response(BODY).replace(b"\r\n\r\n", b"\r\nDate: %b\r\n\r\n" % date.encode(), 1))
+    assert watch.answered_at == told
+
+
 def test_a_closing_answer_counts_but_the_connection_is_done() -> None:
     watch = asked()
     answer = watch.feed(response(BODY).replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n", 1))
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -176,3 +176,26 @@
         watched.driver.start_watch()
         await watched.until(lambda: watched.failures == 1)
         group.cancel_scope.cancel()
+
+
+async def test_the_time_that_an_answer_tells_is_passed_on_before_its_list() -> None:
+    told: list[object] = []
+
+    async def answer(stream: ByteStream, call: int) -> bool:
+        await stream.send(response(42, whole=True, more="Date: Thu, 03 Dec 2026 06:10:00 GMT\r\n"))
+        return False
+
+    async with listening(Service(answer)) as address, anyio.create_task_group() as tasks:
+        client = DiscoveryClient(
+            address,
+            None,
+            2_000_000,
+            on_list=lambda listing: told.append(listing.generation),
+            on_failure=lambda: None,
+            on_time=told.append,
+        )
+        tasks.start_soon(client.run)
+        client.start_watch()
+        await till(lambda: len(told) >= 2)
+        tasks.cancel_scope.cancel()
+    assert told[:2] == [1_796_278_200_000_000, 42]
