--- a/frostfall/engine/policy_engine.py
+++ b/frostfall/engine/policy_engine.py
@@ -141,6 +141,8 @@
     def _watch_interrupted(self, now: Microseconds, event: api.WatchInterrupted) -> list[api.Action]:
         if event.reason is WatchInterruption.MOVED:
             self.lease.watch_moved(now)
+        elif event.reason is WatchInterruption.PAUSED:
+            self.lease.process_paused(now)
         else:
             self.lease.watch_ended(now)
         # A new process says what it knows at the end of its first turn.
--- a/frostfall/interface.py
+++ b/frostfall/interface.py
@@ -55,6 +55,7 @@
     NOT_OPEN = "the process has just started"
     SILENT = "a call was not answered in time"
     MOVED = "it is opened at another address"
+    PAUSED = "the process was stopped for a while"
 
 
 class Outcome(Enum):
--- a/frostfall/net/agent.py
+++ b/frostfall/net/agent.py
@@ -48,6 +48,7 @@
 )
 CLIENT_SOCKET_DIVISOR = 2  # of the descriptors: clients hold a third for requests, and some are silent
 UNREAD_MEMORY_DIVISOR = 8  # of the memory: what all clients together may have sent that is not parsed yet
+HELD_UP_MICROSECONDS = 150_000  # that a running process may be held up for, which the grace of a drain covers
 GC_THRESHOLD = 10_000  # objects allocated beyond those freed: some hundred requests in flight hold fewer
 
 _log = log.get_logger("agent")
@@ -66,7 +67,14 @@
         self._max_request_seconds = _max_request_seconds(config.settings)
         self._timers = TimerQueue(self.clock)
         self._monitor = ConnectionMonitor()
-        self._driver = EngineDriver(self.engine, self.clock, self._execute, self._engine_failed)
+        self._driver = EngineDriver(
+            self.engine,
+            self.clock,
+            self._execute,
+            self._engine_failed,
+            max_gap=_max_event_gap(config.settings),
+            on_pause=self._process_paused,
+        )
         self._list_received = False  # from discovery, in this run
         self._configure_ejections()
         self.invariants = InvariantMonitor()
@@ -81,7 +89,7 @@
             self.clock,
             config.settings.classes,
             post=self._driver.post,
-            may_write=self.engine.may_write,
+            may_write=self._driver.may_write,
             may_act_on=self.engine.may_act_on,
             endpoints=self.endpoints,
             pool=self.upstream_pool,
@@ -216,6 +224,9 @@
     def _watch_interrupted(self, reason: api.WatchInterruption) -> None:
         self.post(api.WatchInterrupted(reason))
 
+    def _process_paused(self) -> None:
+        self.discovery.confirm()
+
     def _gossip_received(self, sender: int, text: str) -> None:
         self.post(api.GossipReceived(sender, text))
 
@@ -355,6 +366,11 @@
     return (longest_deadline + settings.rules.answer_slack) / 1e6
 
 
+def _max_event_gap(settings: Settings) -> int:
+    """The microseconds between two events beyond which the grace of a drain may have passed unnoticed."""
+    return max(settings.rules.drain_grace - HELD_UP_MICROSECONDS, HELD_UP_MICROSECONDS)
+
+
 def _usable_settings(config: Config) -> Settings:
     """The settings, without gossip where the configuration names nobody to exchange it with."""
     settings = config.settings
--- a/frostfall/net/discovery.py
+++ b/frostfall/net/discovery.py
@@ -18,7 +18,7 @@
 FIRST_CALL_SECONDS = (
     5.0  # at least, for the first response on a connection: it may wait for its turn in a crowd
 )
-CONFIRMING_WAIT_SECONDS = 0.2  # that the call after a silent one waits for a change
+CONFIRMING_WAIT_SECONDS = 0.2  # that a call whose answer renews the lease waits for a change
 MIN_BACKOFF_SECONDS = 0.2  # between watches that fail and restart by themselves
 MAX_BACKOFF_SECONDS = 4.0
 
@@ -51,7 +51,7 @@
         self._on_failure = on_failure
         self._on_interruption = on_interruption
         self._on_time = on_time
-        self._was_silent = False  # the last call
+        self._wants_answer = False  # the next call: to be answered soon, also where nothing has changed
         self._auto_restart = auto_restart
         self._requested = anyio.Event()
         self._answer_count = 0
@@ -69,6 +69,15 @@
             self._watching.cancel()
         self._on_interruption(WatchInterruption.MOVED)
 
+    def confirm(self) -> None:
+        """Call anew at once, to be answered soon: after a stop of the process the open call is not enough."""
+        # What was written to the open call may be as old as the stop, and no further change is written to it.
+        self._wants_answer = True
+        self._requested.set()
+        if self._watching:
+            self._watching.cancel()
+        self._on_interruption(WatchInterruption.PAUSED)
+
     async def run(self) -> None:
         """Watch whenever it is requested."""
         backoff = Backoff(MIN_BACKOFF_SECONDS, MAX_BACKOFF_SECONDS)
@@ -83,7 +92,7 @@
                     why = await self._watch(scope)
                 except Exception:  # a task boundary: the next watch may go better
                     _log.exception("watch failed")
-                if scope.cancel_called:  # the address has changed
+                if scope.cancel_called:  # the address has changed, or an answer is wanted now
                     continue
                 _log.info("watch ended", why=why)
                 self._requested = anyio.Event()
@@ -113,11 +122,11 @@
                 # A watch that has fallen silent is opened anew at once: a failure would wait for the next
                 # request to watch, and what was missed meanwhile counts as received. Its silence has lasted
                 # for seconds, so that discovery is not called more often for that.
-                self._was_silent = True
+                self._wants_answer = True
                 _log.info("watch silent")
                 self._on_interruption(WatchInterruption.SILENT)
                 return None
-            self._was_silent = False
+            self._wants_answer = False
             if isinstance(answer, CallFailed):
                 return answer.why
             # The answer may have been read just as the address changed. It still counts, but its generation
@@ -137,7 +146,7 @@
     async def _call(self, stream: Stream, watch: Watch, limit: float) -> Listing | CallFailed | None:
         """One call's answer; None where none comes within so many seconds."""
         # After a silent call an answer is wanted soon, also where nothing has changed: it renews the lease.
-        wait_seconds = CONFIRMING_WAIT_SECONDS if self._was_silent else self._wait_seconds
+        wait_seconds = CONFIRMING_WAIT_SECONDS if self._wants_answer else self._wait_seconds
         with anyio.move_on_after(limit):
             await stream.send(watch.call(self._since, int(wait_seconds * 1000)))
             while True:
--- a/frostfall/net/engine_driver.py
+++ b/frostfall/net/engine_driver.py
@@ -10,6 +10,8 @@
 from frostfall.engine.policy_engine import PolicyEngine
 from frostfall.net.clock import Clock
 
+NO_GAP = 1 << 62  # microseconds; no gap between events is longer
+
 _log = log.get_logger("agent")
 
 
@@ -22,22 +24,33 @@
         clock: Clock,
         execute: Callable[[api.Action], None],
         on_fault: Callable[[api.Event], None],
+        max_gap: int = NO_GAP,
+        on_pause: Callable[[], None] = lambda: None,
     ) -> None:
-        """`execute` carries out an action; `on_fault` is called with the event that the engine failed on."""
+        """`execute` carries out an action; `on_fault` is called with the event that the engine failed on.
+
+        `on_pause` is called before an event that follows the last one after more than `max_gap` microseconds:
+        the engine's own timers come more often, so that the process was stopped.
+        """
         self._engine = engine
         self._clock = clock
         self._execute = execute
         self._on_fault = on_fault
+        self._max_gap = max_gap
+        self._on_pause = on_pause
+        self._last_event_at = clock.now()
         self._events: deque[api.Event] = deque()
         self._handling = False
 
     def start(self) -> None:
         """Carry out what the engine wants done before the first event."""
-        for action in self._engine.start(self._clock.now()):
+        self._last_event_at = self._clock.now()
+        for action in self._engine.start(self._last_event_at):
             self._execute(action)
 
     def post(self, event: api.Event) -> None:
         """Hand an event to the engine; those posted while it is handled follow in order."""
+        self._notice_pause()
         self._events.append(event)
         if self._handling:
             return
@@ -48,6 +61,18 @@
         finally:
             self._handling = False
 
+    def may_write(self, now: int, request: str, attempt: int) -> bool:
+        """The engine's last word before an attempt goes out, in a process that has not just been stopped."""
+        self._notice_pause()
+        return self._engine.may_write(now, request, attempt)
+
+    def _notice_pause(self) -> None:
+        now = self._clock.now()
+        gap, self._last_event_at = now - self._last_event_at, now
+        if gap > self._max_gap:
+            _log.info("process was paused", seconds=round(gap / 1e6, 3))
+            self._on_pause()
+
     def _handle(self, event: api.Event) -> None:
         try:
             actions = self._engine.handle(self._clock.now(), event)
--- a/frostfall/policy/endpoint_lease.py
+++ b/frostfall/policy/endpoint_lease.py
@@ -21,6 +21,7 @@
 OUTAGE_DIVISOR = 2  # ... or this part of a small fleet
 PEER_MEMORY = 3_000_000  # us for which such an answer counts
 AHEAD_MEMORY = 1_000_000  # us for which a fresh word counts that could not be taken over
+CATCH_UP_PATIENCE = 1_000_000  # us that discovery's answer is waited for after the process was stopped
 WITNESS_AGE = 1_000_000  # us for which a server's own answer shows that it still serves
 
 
@@ -28,6 +29,7 @@
     """On what ground the list is acted on."""
 
     HELD = "discovery has vouched for the list within the lease, here or at a peer"
+    CATCHING_UP = "the process was stopped, and discovery has not answered since"
     STARTING = "nobody has vouched for the list of the configuration yet"
     OUTAGE = "of some agents in reach none has had word of discovery within the lease"
     BEHIND = "a peer has word of discovery that cannot be taken over yet"
@@ -54,6 +56,7 @@
         self._started_at: Microseconds = 0
         self._moved_until = math.inf  # the end of the lease after a move of the watch
         self._ahead_at: Microseconds | None = None  # when a fresh word last could not be taken over
+        self._catching_up_until: Microseconds | None = None  # after a stop of the process
         self._uninformed: dict[int, Microseconds] = {}  # peers without a fresh word, by their last answers
         self._valid_until: float = 0.0  # until when nothing needs to be looked at again
 
@@ -85,6 +88,7 @@
         self._ahead_at = None
         self._watch_stands = True
         self._moved_until = math.inf
+        self._catching_up_until = None
         self._update(now)
 
     def watch_ended(self, now: Microseconds) -> None:
@@ -98,6 +102,12 @@
             self._moved_until = now + DURATION_AFTER_MOVE
         self.watch_ended(now)
 
+    def process_paused(self, now: Microseconds) -> None:
+        """The process was stopped until now: what has changed waits in a socket, or was never sent."""
+        # Requests wait in other sockets, and may be read first. A watch that stood vouches for nothing then.
+        self._catching_up_until = now + CATCH_UP_PATIENCE
+        self.watch_ended(now)
+
     def peer_answered(self, now: Microseconds, peer: int, vouched_at: Microseconds | None) -> None:
         """A peer is in reach, whose own last word is of then; None: it has none."""
         if vouched_at is None or now >= vouched_at + DURATION:
@@ -123,7 +133,9 @@
     # ---- what follows ------------------------------------------------------------------------------
 
     def _update(self, now: Microseconds) -> None:
-        if self._watch_stands:
+        if self._catching_up_until is not None:
+            self._valid_until = 0.0
+        elif self._watch_stands:
             self._valid_until = math.inf
         else:
             at = self._voucher.at
@@ -131,6 +143,13 @@
 
     def state(self, now: Microseconds) -> LeaseState:
         """On what ground the list is acted on now."""
+        if self._catching_up_until is not None:
+            if now < self._catching_up_until:
+                return LeaseState.CATCHING_UP
+            self._catching_up_until = (
+                None  # discovery cannot be reached: the lease goes on from its last word
+            )
+            self._update(now)
         if now < self._valid_until:
             return LeaseState.HELD
         if not self.has_peers:  # nobody else could know more
@@ -151,4 +170,4 @@
         state = self.state(now)
         if state in (LeaseState.EXPIRED, LeaseState.BEHIND):  # beside the list, its own answer vouches for it
             return server.served_at is not None and now - server.served_at < WITNESS_AGE
-        return state is not LeaseState.STARTING
+        return state not in (LeaseState.STARTING, LeaseState.CATCHING_UP)
--- a/tests/test_endpoint_lease.py
+++ b/tests/test_endpoint_lease.py
@@ -8,9 +8,13 @@
 
 from frostfall import interface as api
 from frostfall.config import Address
+from frostfall.engine.policy_engine import PolicyEngine
 from frostfall.interface import ListSource, ServerListKind, WatchInterruption
 from frostfall.net.agent import Agent as AgentOnSockets
+from frostfall.net.clock import Clock
+from frostfall.net.engine_driver import EngineDriver
 from frostfall.policy.endpoint_lease import (
+    CATCH_UP_PATIENCE,
     DURATION,
     DURATION_AFTER_MOVE,
     FIRST_WORD_PATIENCE,
@@ -43,6 +47,61 @@
     assert lease.state(START + 99 * S) is LeaseState.HELD  # the watch stands
 
 
+def test_after_a_stop_of_the_process_nothing_is_sent_until_discovery_answers() -> None:
+    lease, known = new_lease(), Agent(WATCHED, server(1)).engine.servers[1]
+    known.served_at = START + S
+    lease.renew(START)
+    lease.process_paused(START + S)
+    assert lease.state(START + S) is LeaseState.CATCHING_UP
+    assert not lease.allows(START + S, known)  # what it served before the stop says nothing
+    lease.watch_ended(START + S)  # a call that fails is no answer
+    assert lease.state(START + S) is LeaseState.CATCHING_UP
+    lease.renew(START + S)
+    assert lease.state(START + S) is LeaseState.HELD
+
+
+def test_after_a_stop_a_discovery_that_does_not_answer_is_waited_for_so_long() -> None:
+    lease = new_lease()
+    lease.renew(START)
+    lease.process_paused(START + S)
+    assert lease.state(START + S + CATCH_UP_PATIENCE - 1) is LeaseState.CATCHING_UP
+    assert lease.state(START + S + CATCH_UP_PATIENCE) is LeaseState.HELD  # by the last word
+    assert lease.state(START + DURATION) is LeaseState.EXPIRED
+
+
+def test_a_gap_between_events_is_noticed_before_the_event_that_ends_it() -> None:
+    now, events, pauses = [0], list[api.Event](), list[int]()
+    clock = Clock(wall=lambda: 0, steady=lambda: now[0] * 1000)
+
+    class Engine(PolicyEngine):
+        def handle(self, at: int, event: api.Event) -> list[api.Action]:
+            events.append(event)
+            return []
+
+        def may_write(self, at: int, request: str, attempt: int) -> bool:
+            return not pauses
+
+    engine = Engine(WATCHED, 1)
+    driver = EngineDriver(
+        engine,
+        clock,
+        lambda action: None,
+        lambda event: None,
+        max_gap=350_000,
+        on_pause=lambda: pauses.append(len(events)),
+    )
+    for now[0] in (100_000, 450_000):
+        driver.post(api.TimerFired("t"))
+    assert pauses == []
+    now[0] += 350_001
+    driver.post(api.TimerFired("t"))
+    assert pauses == [2]
+    assert not driver.may_write(now[0], "q", 0)
+    now[0] += 350_001
+    driver.may_write(now[0], "q", 0)
+    assert pauses == [2, 3]
+
+
 def test_a_new_process_waits_no_longer_once_some_peers_know_no_more() -> None:
     lease = new_lease(replace(WATCHED, agents=40))
     for peer in range(FIRST_WORD_PEERS):
