--- a/frostfall/consensus/raft.py
+++ b/frostfall/consensus/raft.py
@@ -30,6 +30,7 @@
 
 ELECTION_TIMEOUT_TICKS = 10  # ticks without a leader before an election, drawn from one to two times this
 HEARTBEAT_INTERVAL_TICKS = 2  # ticks between two heartbeats of a leader
+EARLY_ELECTION_TICKS = 7  # within which a member that was silent stands for election
 SNAPSHOT_THRESHOLD = 256  # applied entries before a snapshot replaces them
 
 
@@ -128,6 +129,17 @@
             return None
         return self._append(Entry(self.hard_state.term, None, tuple(voters)))
 
+    def step_down(self) -> None:
+        """Follow nobody, and stand for election soon: this member was silent, so that others know no leader.
+
+        Whoever was elected meanwhile is heard before, as its heartbeats come more often.
+        """
+        self.role = Role.FOLLOWER
+        self.leader = ""
+        self._is_pre_voting = False
+        self._contact_ticks = 0
+        self._election_timeout = self._random.randint(HEARTBEAT_INTERVAL_TICKS + 1, EARLY_ELECTION_TICKS)
+
     def tick(self) -> None:
         """Note that one more tick has passed."""
         self._contact_ticks += 1
--- a/frostfall/net/consensus.py
+++ b/frostfall/net/consensus.py
@@ -114,21 +114,19 @@
             task_group.start_soon(self._tick, raft)
             while True:
                 self._changed = anyio.Event()
-                if not await self._advance(raft):
-                    _log.error("the disk has failed: no part in agreement any more")
-                    task_group.cancel_scope.cancel()
-                    return
+                await self._advance(raft)
                 await self._changed.wait()
 
     async def _tick(self, raft: Raft) -> None:
         while True:
             await anyio.sleep(TICK_INTERVAL)
-            raft.tick()
-            self._changed.set()
+            if not self._disk.wal.failure_reason:  # what a member does of itself would only wait for the disk
+                raft.tick()
+                self._changed.set()
 
     def handle_message(self, message: ConsensusMessage) -> None:
         """Handle a Raft message of another member."""
-        if self.raft is None:
+        if self.raft is None or self._disk.wal.failure_reason:  # a member that cannot persist may not answer
             return
         try:
             raft_message = _DECODER.decode(message.payload)
@@ -138,12 +136,12 @@
         self.raft.step(message.sender, raft_message)
         self._changed.set()
 
-    async def _advance(self, raft: Raft) -> bool:
-        """Carry out what is ready, in the order that Raft needs; False where the disk has failed."""
+    async def _advance(self, raft: Raft) -> None:
+        """Carry out what is ready, in the order that Raft needs, however long the disk takes."""
         ready = raft.ready()
         ticket = self._persist(ready)
         if ticket and not await self._disk.wait_durable(ticket):
-            return False
+            await self._wait_for_disk(raft, ticket)
         for receiver, message in ready.messages:
             if connection := self._connections.get(receiver):
                 connection.send(ConsensusMessage(self._name, msgspec.msgpack.encode(message)))
@@ -159,7 +157,18 @@
         if raft.leader != self._logged_leader:
             self._logged_leader = raft.leader
             _log.info("leader", leader=raft.leader, term=raft.hard_state.term)
-        return True
+
+    async def _wait_for_disk(self, raft: Raft, ticket: int) -> None:
+        """Be silent until what must be on disk is there: a write has failed, and the log tries it again."""
+        # The records keep their places in the log's queue, so that term, vote and entries come before any
+        # message that rests on them. Others elect a leader meanwhile; whoever waits here is told to go there.
+        _log.error(
+            "disk fails: silent in agreement until writes succeed", reason=self._disk.wal.failure_reason
+        )
+        self._fail_proposals()
+        await self._disk.wait_written(ticket)
+        raft.step_down()
+        _log.info("disk writes again: back in agreement")
 
     def _persist(self, ready: Ready) -> int:
         """Write what has to be on disk before any message is sent; the last ticket, 0 for nothing."""
@@ -196,7 +205,7 @@
         None where this member does not lead: `raft.leader` says who does. False does not prove that nothing
         was changed, as a deposed leader cannot know; the key's version tells.
         """
-        if self.raft is None or not self.raft.is_leader:
+        if self.raft is None or not self.raft.is_leader or self._disk.wal.failure_reason:
             return None
         command = CompareAndSet(key, value, expected_version, self._name, sequence_number)
         index = self.raft.propose(command)
--- a/frostfall/net/log_writer.py
+++ b/frostfall/net/log_writer.py
@@ -26,7 +26,7 @@
 FIRST_READ_BYTES = 512  # holds most records; a longer one is read again with the maximum
 MAX_RECORD_READ_BYTES = 1 << 17
 MIN_RETRY_SECONDS = 0.1  # after a write that failed, doubling to ...
-MAX_RETRY_SECONDS = 5.0
+MAX_RETRY_SECONDS = 0.2  # what waits for the disk goes on within a second once it can
 
 _SEGMENT_FILE_NAME = re.compile(r"(\d{10})\.seg\Z")
 _NO_FD = -1
@@ -214,10 +214,13 @@
             try:
                 await self.run_blocking(execute_write, self.directory, write)
             except OSError as error:
+                reason_before = self.wal.failure_reason
                 self.wal.write_failed(f"segment {write.segment}: {error.strerror or error}")
-                _log.error(
-                    "write failed: no unsafe work is taken until one succeeds", why=self.wal.failure_reason
-                )
+                if self.wal.failure_reason != reason_before:
+                    _log.error(
+                        "write failed: no unsafe work is taken until one succeeds",
+                        why=self.wal.failure_reason,
+                    )
                 self._notify_waiters()
                 await anyio.sleep(pause)
                 pause = min(pause * 2, MAX_RETRY_SECONDS)
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -226,3 +226,39 @@
         cluster.start(others[0])
         cluster.wait("no part in agreement: this member may have voted otherwise before", since=since)
         assert "version 3" in put(tmp_path, "x", "3", leader)
+
+
+def test_agreement_goes_on_within_a_second_once_the_disks_of_a_majority_take_writes_again(
+    tmp_path: Path,
+) -> None:
+    """Of three members two cannot write for some seconds, as on a full disk, and nobody restarts them.
+
+    What happened: a member whose write failed once ended its part in agreement ("the disk has failed: no part
+    in agreement any more"). With two of three the register took nothing until somebody restarted them, while
+    the operation log went on in a new segment. Records stay queued in that log until they are durable, so
+    that a member only has to stay silent until then.
+    """
+    with running(tmp_path, agreement=True) as cluster:
+        assert "version 1" in put(tmp_path, "zone a", "serving")
+        leader = str(cluster.history.of("leader")[-1]["leader"])
+        failing = [leader, next(name for name in cluster.names if name != leader)]
+        for lasts, version in ((3.0, 2), (0.3, 3)):
+            since = cluster.now
+            cluster.faults(*failing, full=True)
+            operator = str(tmp_path / leader / "operator.json5")
+            refused = CliRunner().invoke(
+                main, ["group", "put", "--operator", operator, "--by", "t", "x", "y"]
+            )
+            assert refused.exit_code  # nothing is acknowledged that a majority has not on disk
+            for name in failing:
+                cluster.wait(
+                    "write failed: no unsafe work is taken until one succeeds", since=since, who=name
+                )
+            time.sleep(lasts)
+            cluster.faults(*failing)
+            began = time.monotonic()
+            assert f"version {version}" in put(tmp_path, "zone a", f"state {version}")
+            assert time.monotonic() - began < 1.0
+        cluster.kill()
+        restart(cluster)
+        assert "version 4" in put(tmp_path, "zone a", "at last")
