--- a/frostfall/engine/policy_engine.py
+++ b/frostfall/engine/policy_engine.py
@@ -211,7 +211,7 @@
 
     def _gossip_received(self, now: Microseconds, event: api.GossipReceived) -> list[api.Action]:
         if not event.text.startswith(list_messages.PREFIX):
-            self.exchange.receive(event.sender, event.text, self.rollout_test.test)
+            self.exchange.receive(now, event.sender, event.text, self.rollout_test.test)
             return []
         had_word, withdrawn = self.lease.state(now) is LeaseState.HELD, self.server_list.withdrawn
         told = self.list_gossip.receive(now, event.sender, event.text)
@@ -223,7 +223,7 @@
 
     def _exchange_timer(self, now: Microseconds) -> api.SetTimer:
         # By the clock: agents exchange in step.
-        return api.SetTimer(self.schedule.period - now % self.schedule.period, EXCHANGE_TIMER)
+        return api.SetTimer(self.schedule.time_left(now), EXCHANGE_TIMER)
 
     def _exchange(self, now: Microseconds) -> Iterable[api.Action]:
         yield self._exchange_timer(now)
--- a/frostfall/mechanisms/mixing.py
+++ b/frostfall/mechanisms/mixing.py
@@ -41,7 +41,7 @@
 class ExchangeSchedule:
     """The turns in which one agent exchanges with others. A round is `exchanges` turns."""
 
-    __slots__ = ("agent", "agents", "exchanges", "mixing_rate", "period", "turn")
+    __slots__ = ("agent", "agents", "clock_correction", "exchanges", "mixing_rate", "period", "turn")
 
     def __init__(self, agent: int, agents: int, period: Microseconds) -> None:
         """For this agent of so many, before the first turn; a turn takes `period`."""
@@ -51,10 +51,19 @@
         self.exchanges = round_length(agents)
         self.mixing_rate = mixing_rate(agents, self.exchanges)
         self.turn = -1
+        self.clock_correction: Microseconds = 0  # of this agent's clock, towards that of most agents
+
+    def turn_at(self, now: Microseconds) -> int:
+        """The turn of this time, by a clock that all agents share."""
+        return (now + self.clock_correction) // self.period
+
+    def time_left(self, now: Microseconds) -> Microseconds:
+        """The time until the turn of now ends."""
+        return self.period - (now + self.clock_correction) % self.period
 
     def advance(self, now: Microseconds) -> int:
-        """Begin the turn of this time, by a clock that all agents share; the turn that was the last."""
-        last, self.turn = self.turn, now // self.period
+        """Begin the turn of this time; the turn that was the last."""
+        last, self.turn = self.turn, self.turn_at(now)
         return last
 
     def partner(self, turn: int) -> int:
--- a/frostfall/mechanisms/peer_exchange.py
+++ b/frostfall/mechanisms/peer_exchange.py
@@ -3,30 +3,35 @@
 from __future__ import annotations
 
 from frostfall import interface as api
+from frostfall.interface import Microseconds
 from frostfall.mechanisms.mixing import ExchangeSchedule
 from frostfall.mechanisms.sequential_test import GossipMessage, SequentialTest
+from frostfall.mechanisms.turn_synchronizer import TurnSynchronizer
 from frostfall.shared_health.server_health import SharedHealth
 
 
 class PeerExchange:
     """Sends and receives one message a turn."""
 
-    __slots__ = ("_max_chars", "_schedule", "_shared_health")
+    __slots__ = ("_max_chars", "_schedule", "_shared_health", "_synchronizer")
 
     def __init__(self, schedule: ExchangeSchedule, shared_health: SharedHealth, *, max_chars: int) -> None:
         """Messages have so many characters at most."""
         self._schedule = schedule
         self._shared_health = shared_health
         self._max_chars = max_chars
+        self._synchronizer = TurnSynchronizer(schedule)
 
-    def receive(self, sender: int, text: str, test: SequentialTest | None) -> None:
+    def receive(self, now: Microseconds, sender: int, text: str, test: SequentialTest | None) -> None:
         """Take in a message; one of another turn, partner, build or stage, or a malformed one, is dropped."""
         turn = self._schedule.turn
+        totals, _, health = text.partition(" ")
+        message = GossipMessage.decode(totals)
+        if test and message and message.key == test.key:  # who follows another rollout has other turns
+            self._synchronizer.observe(now, sender, message.turn)
         if sender != self._schedule.partner(turn):
             return
-        totals, _, health = text.partition(" ")
         self._shared_health.push_sum.receive(turn, health)
-        message = GossipMessage.decode(totals)
         if test and message and message.answers(test.key, turn):
             test.received = message.totals
 
--- a/frostfall/model/fleet.py
+++ b/frostfall/model/fleet.py
@@ -9,7 +9,7 @@
 
 import random
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 
 from frostfall import interface as api
@@ -62,8 +62,12 @@
         servers: Iterable[QueueingServer],
         seed: int = 1,
         one_way_delay: Micros = ONE_WAY_DELAY,
+        clock_errors: Mapping[int, Micros] | None = None,
     ) -> None:
-        """With all agents started at once, and no requests yet."""
+        """With all agents started at once, and no requests yet.
+
+        `clock_errors`: by how much the clocks of some agents are ahead.
+        """
         self.settings = settings
         self.servers = {server.info.id: server for server in servers}
         self.random = random.Random(seed)
@@ -71,6 +75,7 @@
         self.one_way_delay = one_way_delay
         self.is_cut: Callable[[int, int], bool] = lambda sender, receiver: False  # whether a message is lost
         self.discovery_up = True
+        self.clock_errors: dict[int, Micros] = dict(clock_errors or {})
         self._rollout_state = INITIAL_ROLLOUT
         self._generations: dict[tuple[api.Server, ...], int] = {}  # of the lists that there have been
         self._queue = EventQueue(START)
@@ -88,6 +93,10 @@
         """The virtual time."""
         return self._queue.now
 
+    def clock_of(self, number: int) -> Micros:
+        """The time by an agent's own clock."""
+        return self.now + self.clock_errors.get(number, 0)
+
     def schedule(self, due: Micros, callback: Callable[[], None]) -> None:
         """Run a callback at a time."""
         self._queue.schedule(due, callback)
@@ -103,7 +112,7 @@
 
     def _start(self, number: int) -> None:
         agent, incarnation = self.agents[number], self._incarnations[number]
-        self._carry_out(number, incarnation, agent.start(self.now))
+        self._carry_out(number, incarnation, agent.start(self.clock_of(number)))
         self.deliver(number, self.list_event(api.ServerListKind.CACHED))
         self.deliver(number, self._rollout_state)
 
@@ -119,7 +128,8 @@
 
     def deliver(self, number: int, event: api.Event) -> None:
         """Hand one event to one agent and carry out what it decides."""
-        self._carry_out(number, self._incarnations[number], self.agents[number].handle(self.now, event))
+        actions = self.agents[number].handle(self.clock_of(number), event)
+        self._carry_out(number, self._incarnations[number], actions)
 
     def deliver_to_all(self, event: api.Event) -> None:
         """Hand one event to all agents."""
@@ -200,7 +210,8 @@
         self.statistics.requests += 1
         name, deadline = f"q{self.statistics.requests}", self.now + request_class.deadline
         self._requests[name] = _Request(number, deadline)
-        self.deliver(number, api.RequestArrived(name, request_class.name, deadline))
+        own_deadline = deadline + self.clock_errors.get(number, 0)
+        self.deliver(number, api.RequestArrived(name, request_class.name, own_deadline))
 
     def generate_traffic(
         self, rate: float, until: Micros, weight: Callable[[int], float] = lambda agent: 1.0
