--- a/frostfall/shared_health/server_health.py
+++ b/frostfall/shared_health/server_health.py
@@ -15,6 +15,7 @@
 SILENCE_MEMORY_SECONDS = 1.0  # the same for whether any data comes back from it
 PAST_STAGE_RETENTION = 0.1  # part of the outcomes of a past rollout stage that is kept in each round
 PRIOR_SUCCESSES = 4.0  # attempts added to each server's: one failure alone tells little
+FAILED_ONCE = 0.5  # pooled failures that stand for one
 REPEATED_FAILURES = 1.7  # pooled failures that stand for more than one, as pooled counts are not whole
 UNREACHABLE_SHARE = 0.8  # share of attempts without any data above which a server is unreachable
 MIN_SILENT_ATTEMPTS = 2.0  # attempts without any data below which it is not judged
@@ -165,6 +166,12 @@
             suspects.pop()
         return 0.0
 
+    @property
+    def few_trial_servers_fail(self) -> bool:
+        """Whether no more machines on trial have failed than may fail alone."""
+        failing = sum(self.push_sum.totals(key).failures >= FAILED_ONCE for key in self._trial)
+        return failing <= self._max_outliers()
+
     def _worst_on_trial(self) -> list[HealthCounts]:
         """The machines with repeated failures that may be outliers, worst first."""
         totals = sorted(
