--- a/frostfall/engine/policy_engine.py
+++ b/frostfall/engine/policy_engine.py
@@ -9,6 +9,7 @@
 from frostfall import interface as api
 from frostfall.engine.request_lifecycle import RequestLifecycle
 from frostfall.gossip import list_messages
+from frostfall.gossip.list_gossip import ListGossip
 from frostfall.interface import Microseconds, Outcome, ServerListKind, VoteReply, WatchInterruption
 from frostfall.mechanisms.fleet_statistics import FleetStatistics
 from frostfall.mechanisms.mixing import ExchangeSchedule
@@ -19,7 +20,6 @@
 from frostfall.policy.endpoint_lease import LeaseState
 from frostfall.policy.guards import AttemptGuards
 from frostfall.policy.learning import STATISTICS, UNREACHABLE_EJECTION, Learning
-from frostfall.policy.list_gossip import ListGossip
 from frostfall.policy.placement import PlacementPolicy
 from frostfall.policy.rollout_test import EXCHANGE_PERIOD, RolloutTest
 from frostfall.policy.routing import Routing
--- a/frostfall/gossip/__init__.py
+++ b/frostfall/gossip/__init__.py
@@ -1,1 +1,1 @@
-"""Gossip of the endpoint list: messages between agents, and what each has to tell. No I/O and no clock."""
+"""Gossip of the endpoint list: messages, who is asked, and what is believed. No I/O and no clock."""
--- a/frostfall/policy/list_gossip.py
+++ b/frostfall/gossip/list_gossip.py
@@ -29,10 +29,10 @@
     removed_entry,
     server_key,
 )
+from frostfall.gossip.peer_restrictions import PeerRestrictions
 from frostfall.interface import ListSource, Microseconds, ServerListKind
 from frostfall.mechanisms.server_list import ServerList
 from frostfall.policy.endpoint_lease import EndpointLease, LeaseState
-from frostfall.policy.peer_restrictions import PeerRestrictions
 
 FIRST_QUERIES = 4  # peers that a new process asks at once, and in each turn until it has a word
 QUERIES_PER_TURN = 2  # peers asked in a turn while nobody's word is fresh ...
--- a/frostfall/net/health_log.py
+++ b/frostfall/net/health_log.py
@@ -11,12 +11,12 @@
 import anyio
 
 from frostfall import log
+from frostfall.gossip.list_gossip import ListGossip
 from frostfall.limits.slow_peer_detector import SlowPeerDetector
 from frostfall.net.client_connections import ClientConnections
 from frostfall.net.clock import TimerQueue
 from frostfall.net.connection_monitor import ConnectionMonitor
 from frostfall.net.invariants import InvariantMonitor
-from frostfall.policy.list_gossip import ListGossip
 
 INTERVAL_SECONDS = 5.0
 
--- a/tests/test_endpoint_lease.py
+++ b/tests/test_endpoint_lease.py
@@ -9,6 +9,7 @@
 from frostfall import interface as api
 from frostfall.config import Address
 from frostfall.engine.policy_engine import PolicyEngine
+from frostfall.gossip.peer_restrictions import LIFETIME, PeerRestrictions
 from frostfall.interface import ListSource, ServerListKind, WatchInterruption
 from frostfall.net.agent import Agent as AgentOnSockets
 from frostfall.net.clock import Clock
@@ -25,7 +26,6 @@
     EndpointLease,
     LeaseState,
 )
-from frostfall.policy.peer_restrictions import LIFETIME, PeerRestrictions
 from tests.standins import configured, instance
 from tests.support import SAFE, Agent, S, limits, sends, server
 
--- a/tests/test_list_gossip.py
+++ b/tests/test_list_gossip.py
@@ -10,6 +10,7 @@
 
 from frostfall import interface as api
 from frostfall.gossip.change_history import MAX_CHANGES, ChangeHistory
+from frostfall.gossip.list_gossip import DropReason
 from frostfall.gossip.list_messages import (
     ENTRIES_PER_FRAGMENT,
     MAX_CHARS,
@@ -26,7 +27,6 @@
 from frostfall.interface import Availability, ListSource, ServerListKind
 from frostfall.mechanisms.sequential_test import GossipMessage, RoundTotals
 from frostfall.policy.endpoint_lease import DURATION, LeaseState
-from frostfall.policy.list_gossip import DropReason
 from tests.support import Agent, S, limits, server
 
 AGENTS = 6
