--- a/tests/test_endpoint_lease.py
+++ b/tests/test_endpoint_lease.py
@@ -9,7 +9,7 @@
 from frostfall import interface as api
 from frostfall.config import Address
 from frostfall.engine.policy_engine import PolicyEngine
-from frostfall.gossip.peer_restrictions import LIFETIME, PeerRestrictions
+from frostfall.gossip.peer_restrictions import LIFETIME, UNCONFIRMED_SHARE, PeerRestrictions
 from frostfall.interface import ListSource, ServerListKind, WatchInterruption
 from frostfall.net.agent import Agent as AgentOnSockets
 from frostfall.net.clock import Clock
@@ -256,3 +256,13 @@
     peers = tuple(Address("127.0.0.1", port) for port in (7, 8, 9))
     linked = replace(told, settings=several, peer_listen=peers[0], peers=peers)
     assert AgentOnSockets(linked).engine.lease.has_peers
+
+
+def test_two_mad_peers_take_no_more_servers_out_of_use_than_one() -> None:
+    """Each claims of all servers, as confirmed, that they are gone; 197 others say nothing of the kind."""
+    up = 100
+    restrictions = PeerRestrictions(agents=200)
+    for peer in (7, 8):
+        for server_id in range(up):
+            restrictions.add(START, server_id, peer, is_confirmed=True)
+    assert len(restrictions.believed(up)) <= up * UNCONFIRMED_SHARE
