--- a/frostfall/bench/power_loss.py
+++ b/frostfall/bench/power_loss.py
@@ -24,8 +24,9 @@
 
 from frostfall.bench import report, stage
 from frostfall.bench.check import Findings, check
-from frostfall.bench.cluster import KEY, Cluster, lasting_port
+from frostfall.bench.cluster import KEY, Cluster
 from frostfall.bench.history import Event
+from frostfall.bench.ports import free_port
 from frostfall.bench.schedules import judge_seed, script, shrink
 from frostfall.model.schedule import draw_schedule
 
@@ -167,7 +168,7 @@
 
 
 def _operator(folder: Path, name: str) -> str:
-    port = lasting_port(set())
+    port = free_port()
     return msgspec.json.encode(
         {
             "group": {
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -15,7 +15,7 @@
 
 from frostfall import config
 from frostfall.bench.peers import WELCOME, Reader, row
-from frostfall.bench.stage import free_port
+from frostfall.bench.ports import free_port
 from frostfall.config import Address
 from frostfall.net.streams import STREAM_ERRORS as CLOSED
 from frostfall.protocol import pg
--- a/tests/test_shutdown_answers.py
+++ b/tests/test_shutdown_answers.py
@@ -21,7 +21,7 @@
 from frostfall.bench.fault_soak.records import ReadRecord, SoakRecords
 from frostfall.bench.fault_soak.shim import FaultShim, whole_queries
 from frostfall.bench.peers import Server, listening
-from frostfall.bench.stage import free_port
+from frostfall.bench.ports import free_port
 from frostfall.config import Address
 from tests.standins import LONG, instance
 from tests.test_config import EXAMPLE
