--- a/frostfall/bench/ports.py
+++ b/frostfall/bench/ports.py
@@ -9,8 +9,8 @@
 import tempfile
 from pathlib import Path
 
-# Below the kernel's range for outgoing connections: from that, a port may be gone once an agent that listened on
-# it is killed and started anew.
+# Below the kernel's range for outgoing connections: one of those could take the port of an agent that was
+# killed before it is started anew.
 FIRST_PORT = 12_000
 LAST_PORT = 32_000
 LOCK_FILE_NAME = "frostfall-ports.lock"  # in the directory for temporary files; byte N is locked for port N
