--- a/frostfall/engine/policy_engine.py
+++ b/frostfall/engine/policy_engine.py
@@ -213,9 +213,9 @@
         if not event.text.startswith(list_messages.PREFIX):
             self.exchange.receive(now, event.sender, event.text, self.rollout_test.test)
             return []
-        had_word, withdrawn = self.lease.state(now) is LeaseState.HELD, self.server_list.withdrawn
+        was_held, withdrawn = self.lease.state(now) is LeaseState.HELD, self.server_list.withdrawn
         told = self.list_gossip.receive(now, event.sender, event.text)
-        if not had_word and self._peers_vouch(now):
+        if not was_held and self._peers_vouch(now):
             self.watch.defer(now)
         if withdrawn != self.server_list.withdrawn:
             self._regroup()
--- a/frostfall/gossip/list_gossip.py
+++ b/frostfall/gossip/list_gossip.py
@@ -1,8 +1,8 @@
 """What agents tell each other of the endpoint list, whom they ask and when (types: frostfall/interface.py).
 
 An agent whose watch does not stand asks a few peers at random, again and again. Each answers with what has
-changed since the asker's list, and with the age of discovery's word. While all watches stand nobody asks, and
-nothing is sent. Addresses and new servers come from discovery alone: a peer's word only restricts.
+changed since the asker's list, and with the age of discovery's confirmation. While all watches stand nobody
+asks, and nothing is sent. Addresses and new servers come from discovery alone: a peer only restricts.
 """
 
 import random
@@ -34,8 +34,8 @@
 from frostfall.mechanisms.server_list import ServerList
 from frostfall.policy.endpoint_lease import EndpointLease, LeaseState
 
-FIRST_QUERIES = 4  # peers that a new process asks at once, and in each turn until it has a word
-QUERIES_PER_TURN = 2  # peers asked in a turn while nobody's word is fresh ...
+FIRST_QUERIES = 4  # peers that a new process asks at once, and in each turn until it has a confirmation
+QUERIES_PER_TURN = 2  # peers asked in a turn while nobody's confirmation is fresh ...
 REFRESH_PERIOD = 1_000_000  # us between queries once it is; a lease takes several of them
 MAX_UPDATES_PER_TURN = 32  # datagrams by which others are answered
 MAX_FRAGMENTS_PER_QUERY = 16  # datagrams that one query is answered by
--- a/frostfall/gossip/peer_restrictions.py
+++ b/frostfall/gossip/peer_restrictions.py
@@ -1,8 +1,8 @@
-"""Which servers peers' word takes out of use, mad or forged as it may be (types: frostfall/interface.py).
+"""Which servers peers' claims take out of use, mad or forged as it may be (types: frostfall/interface.py).
 
 Peers only restrict. What a quorum of them has from discovery, or from a quorum in turn, is believed and may
 be passed on as confirmed; what fewer say is believed of a part of the servers that are up. So a single mad
-peer, and every echo of its word, takes no more than that part out of use.
+peer, and every echo of its claim, takes no more than that part out of use.
 """
 
 from dataclasses import dataclass, field
@@ -11,7 +11,7 @@
 
 QUORUM = 2  # agents that confirm a change, to be believed of any number of servers
 UNCONFIRMED_SHARE = 0.25  # of the servers that are up, of which fewer agents are believed
-LIFETIME = 60_000_000  # us after which a word is forgotten that nobody repeats
+LIFETIME = 60_000_000  # us after which a claim is forgotten that nobody repeats
 
 
 @dataclass(slots=True)
--- a/frostfall/interface.py
+++ b/frostfall/interface.py
@@ -42,7 +42,7 @@
 
 
 class ListSource(Enum):
-    """From whom the last word on the server list came."""
+    """From whom the last confirmation of the server list came."""
 
     CONFIGURATION = "configuration"
     PEER = "peer"
@@ -353,11 +353,11 @@
 class ReportServerList:
     """For the operators: what is known of the server list has changed, or the ground to act on it."""
 
-    generation: int  # that is known of, by the last word
+    generation: int  # that is known of, by the last confirmation
     source: ListSource
     lease: str  # on what ground the list is acted on
-    age: Microseconds | None  # since discovery gave that word; None: nobody has passed one on
-    withdrawn: int  # servers out of use by the word of peers
+    age: Microseconds | None  # since discovery gave it; None: nobody has passed one on
+    withdrawn: int  # servers out of use by the claims of peers
 
 
 @dataclass(frozen=True, slots=True)
--- a/frostfall/mechanisms/watch_schedule.py
+++ b/frostfall/mechanisms/watch_schedule.py
@@ -14,7 +14,7 @@
     """The numbers of a watch, all in microseconds."""
 
     retry_first: Microseconds
-    retry_longest: Microseconds  # while nobody else has word of the list
+    retry_longest: Microseconds  # while nobody else has a confirmation of the list
     retry_shortest: Microseconds
     spacing: Microseconds  # between the calls of all agents together
     start_part: int  # of a renewal's time, into which the first calls are spread
@@ -57,7 +57,7 @@
         """A call failed or the watch broke: call again, ever more slowly.
 
         The pause is drawn from the whole backoff, so that calls that failed together do not come together
-        again. `is_urgent`: no peer has word of the list either.
+        again. `is_urgent`: no peer has a confirmation of the list either.
         """
         longest = self._backoff.next()
         if is_urgent:
@@ -66,5 +66,5 @@
         self._due_at = now + self._random.randrange(shortest, longest + 1)
 
     def defer(self, now: Microseconds) -> None:
-        """A peer has word of the list: leave discovery to those without, and call within the whole window."""
+        """A peer has a confirmation of the list: leave discovery to others, and call within the window."""
         self._due_at = max(self._due_at, now + self._random.randrange(self._crowd_window + 1))
--- a/frostfall/policy/endpoint_lease.py
+++ b/frostfall/policy/endpoint_lease.py
@@ -1,4 +1,4 @@
-"""Until when the endpoint list may be acted on, and on whose word (types: frostfall/interface.py).
+"""Until when the endpoint list may be acted on, and on whose confirmation (types: frostfall/interface.py).
 
 Every attempt asks this lease, when it begins and again just before its first byte. While the watch of the
 list stands, discovery itself vouches for it; its driver reports a silent watch within seconds. Otherwise the
@@ -15,12 +15,12 @@
 
 DURATION = 6_000_000  # us after discovery had a change, from which on each agent counts as notified of it
 DURATION_AFTER_MOVE = 4_000_000  # us after the watch was moved to another address, likewise
-FIRST_WORD_PATIENCE = 3_000_000  # us that a new process waits for a word
-FIRST_WORD_PEERS = 12  # that have answered without a fresh word, from which on it waits no longer
-OUTAGE_PEERS = 6  # that have no fresh word either, for an outage ...
+FIRST_CONFIRMATION_PATIENCE = 3_000_000  # us that a new process waits for a confirmation
+FIRST_CONFIRMATION_PEERS = 12  # that have answered without a fresh one, from which on it waits no longer
+OUTAGE_PEERS = 6  # that have no fresh one either, for an outage ...
 OUTAGE_DIVISOR = 2  # ... or this part of a small fleet
 PEER_MEMORY = 3_000_000  # us for which such an answer counts
-AHEAD_MEMORY = 1_000_000  # us for which a fresh word counts that could not be taken over
+AHEAD_MEMORY = 1_000_000  # us for which a fresh confirmation counts that could not be taken over
 CATCH_UP_PATIENCE = 1_000_000  # us that discovery's answer is waited for after the process was stopped
 WITNESS_AGE = 1_000_000  # us for which a server's own answer shows that it still serves
 
@@ -31,14 +31,14 @@
     HELD = "discovery has vouched for the list within the lease, here or at a peer"
     CATCHING_UP = "the process was stopped, and discovery has not answered since"
     STARTING = "nobody has vouched for the list of the configuration yet"
-    OUTAGE = "of some agents in reach none has had word of discovery within the lease"
-    BEHIND = "a peer has word of discovery that cannot be taken over yet"
+    OUTAGE = "of some agents in reach none has had a confirmation of discovery within the lease"
+    BEHIND = "a peer has a confirmation of discovery that cannot be taken over yet"
     EXPIRED = "neither discovery nor enough peers answer"
 
 
 @dataclass(slots=True)
 class _Voucher:
-    """Who vouched last, and when discovery's word was given."""
+    """Who vouched last, and when discovery gave its confirmation."""
 
     source: ListSource = ListSource.CONFIGURATION
     at: Microseconds | None = None
@@ -55,14 +55,14 @@
         self._voucher = _Voucher()
         self._started_at: Microseconds = 0
         self._moved_until = math.inf  # the end of the lease after a move of the watch
-        self._ahead_at: Microseconds | None = None  # when a fresh word last could not be taken over
+        self._ahead_at: Microseconds | None = None  # when a fresh confirmation last could not be taken over
         self._catching_up_until: Microseconds | None = None  # after a stop of the process
-        self._uninformed: dict[int, Microseconds] = {}  # peers without a fresh word, by their last answers
+        self._uninformed: dict[int, Microseconds] = {}  # peers without a fresh one, by their last answers
         self._valid_until: float = 0.0  # until when nothing needs to be looked at again
 
     @property
     def source(self) -> ListSource:
-        """From whom the last word came."""
+        """From whom the last confirmation came."""
         return self._voucher.source
 
     @property
@@ -72,7 +72,7 @@
 
     @property
     def vouched_at(self) -> Microseconds | None:
-        """When discovery's last word on the list was given; None: nobody has passed one on."""
+        """When discovery last confirmed the list; None: nobody has passed one on."""
         return self._voucher.at
 
     # ---- what happens ------------------------------------------------------------------------------
@@ -109,19 +109,19 @@
         self.watch_ended(now)
 
     def peer_answered(self, now: Microseconds, peer: int, vouched_at: Microseconds | None) -> None:
-        """A peer is in reach, whose own last word is of then; None: it has none."""
+        """A peer is in reach, whose own last confirmation is of then; None: it has none."""
         if vouched_at is None or now >= vouched_at + DURATION:
             self._uninformed[peer] = now
         else:
             self._uninformed.pop(peer, None)
 
     def peer_is_ahead(self, now: Microseconds, vouched_at: Microseconds) -> None:
-        """A peer passes on a word, but what it brings is incomplete here or not believed yet."""
+        """A peer passes on a confirmation, but what it brings is incomplete here or not believed yet."""
         if now < vouched_at + DURATION:
             self._ahead_at = now
 
     def peer_vouched(self, now: Microseconds, vouched_at: Microseconds) -> bool:
-        """A peer passes on discovery's word on all that is known here; whether it is news."""
+        """A peer passes on discovery's confirmation of all that is known here; whether it is news."""
         if self._voucher.at is not None and vouched_at <= self._voucher.at:
             return False
         self._voucher = _Voucher(ListSource.PEER, vouched_at)
@@ -147,7 +147,7 @@
             if now < self._catching_up_until:
                 return LeaseState.CATCHING_UP
             self._catching_up_until = (
-                None  # discovery cannot be reached: the lease goes on from its last word
+                None  # discovery cannot be reached: the lease goes on from its last confirmation
             )
             self._update(now)
         if now < self._valid_until:
@@ -157,8 +157,8 @@
         if self._ahead_at is not None and now - self._ahead_at < AHEAD_MEMORY:
             return LeaseState.BEHIND
         uninformed = sum(now - at < PEER_MEMORY for at in self._uninformed.values())
-        if self._voucher.at is None and now < self._started_at + FIRST_WORD_PATIENCE:
-            enough = uninformed >= min(FIRST_WORD_PEERS, self._peer_count)
+        if self._voucher.at is None and now < self._started_at + FIRST_CONFIRMATION_PATIENCE:
+            enough = uninformed >= min(FIRST_CONFIRMATION_PEERS, self._peer_count)
             return LeaseState.OUTAGE if enough else LeaseState.STARTING
         enough = uninformed >= min(OUTAGE_PEERS, math.ceil(self._peer_count / OUTAGE_DIVISOR))
         return LeaseState.OUTAGE if enough else LeaseState.EXPIRED
