--- a/frostfall/mechanisms/turn_synchronizer.py
+++ b/frostfall/mechanisms/turn_synchronizer.py
@@ -45,7 +45,9 @@
             return
         self._samples.pop(sender, None)
         self._samples[sender] = _Sample(now, ahead)
-        self._correct(now)
+        # The way of a message, which is shorter than a turn, must not move the clocks of all.
+        if abs(ahead) >= self._schedule.period:
+            self._correct(now)
 
     def _ahead(self, now: Microseconds, sender: int, turn: int) -> Microseconds | None:
         """How far the sender's clock is ahead; None where this agent is its partner in no such turn."""
@@ -67,7 +69,6 @@
         if schedule.agents == 2 and schedule.agent == 0:  # of two, one has to keep its clock
             return
         ahead = median_low(sample.ahead for sample in self._samples.values())
-        # The way of a message, which is shorter than a turn, must not move the clocks of all.
         if abs(ahead) < schedule.period:
             return
         agreeing = sum(abs(sample.ahead - ahead) <= schedule.period // 2 for sample in self._samples.values())
