--- a/frostfall/mechanisms/peer_exchange.py
+++ b/frostfall/mechanisms/peer_exchange.py
@@ -27,13 +27,16 @@
         turn = self._schedule.turn
         totals, _, health = text.partition(" ")
         message = GossipMessage.decode(totals)
-        if test and message and message.key == test.key:  # who follows another rollout has other turns
-            self._synchronizer.observe(now, sender, message.turn)
-        if sender != self._schedule.partner(turn):
+        is_partner = sender == self._schedule.partner(turn)
+        if is_partner:
+            self._shared_health.push_sum.receive(turn, health)
+        if not (test and message and message.key == test.key):  # who follows another rollout has other turns
             return
-        self._shared_health.push_sum.receive(turn, health)
-        if test and message and message.answers(test.key, turn):
+        if is_partner and message.answers(test.key, turn):
+            self._synchronizer.observe_partner(now, sender)
             test.received = message.totals
+        else:
+            self._synchronizer.observe(now, sender, message.turn)
 
     def end_turn(self, last: int, test: SequentialTest | None) -> None:
         """A turn has passed: what its partner has sent is taken into account."""
--- a/frostfall/mechanisms/turn_synchronizer.py
+++ b/frostfall/mechanisms/turn_synchronizer.py
@@ -36,8 +36,13 @@
         self._schedule = schedule
         self._samples: dict[int, _Sample] = {}  # the latest of each sender
 
+    def observe_partner(self, now: Microseconds, sender: int) -> None:
+        """A message of the running test has come from this agent's partner in the turn that both are in."""
+        self._samples.pop(sender, None)
+        self._samples[sender] = _Sample(now, 0)
+
     def observe(self, now: Microseconds, sender: int, turn: int) -> None:
-        """A message of the running test has come, of this turn modulo 2**16 by its sender's clock."""
+        """Any other message of the running test has come, of this turn modulo 2**16 by its sender's clock."""
         if not 0 <= sender < self._schedule.agents or sender == self._schedule.agent:
             return
         ahead = self._ahead(now, sender, turn)
