--- a/frostfall/net/consensus.py
+++ b/frostfall/net/consensus.py
@@ -167,7 +167,8 @@
         )
         self._fail_proposals()
         await self._disk.wait_written(ticket)
-        raft.step_down()
+        if not raft.is_leader:  # a leader of a past term is told so by the first answer
+            raft.step_down()
         _log.info("disk writes again: back in agreement")
 
     def _persist(self, ready: Ready) -> int:
