--- a/frostfall/consensus/raft.py
+++ b/frostfall/consensus/raft.py
@@ -134,10 +134,7 @@
 
         Whoever was elected meanwhile is heard before, as its heartbeats come more often.
         """
-        self.role = Role.FOLLOWER
-        self.leader = ""
-        self._is_pre_voting = False
-        self._contact_ticks = 0
+        self._become_follower(self.hard_state.term, "")
         self._election_timeout = self._random.randint(HEARTBEAT_INTERVAL_TICKS + 1, EARLY_ELECTION_TICKS)
 
     def tick(self) -> None:
@@ -157,8 +154,12 @@
             isinstance(message, RequestVoteResponse) and message.pre_vote and message.vote_granted
         )
         if message.term > self.hard_state.term and not is_granted_pre_vote:
+            was_leader = self.is_leader
             is_from_leader = isinstance(message, AppendEntries | InstallSnapshot)
             self._become_follower(message.term, sender if is_from_leader else "")
+            if was_leader and not is_from_leader:
+                # Most likely nobody leads: a candidate that others do not vote for has told its term.
+                self.step_down()
         match message:
             case RequestVoteResponse():
                 self._handle_vote_response(sender, message)
@@ -260,8 +261,10 @@
     def _handle_request_vote(self, sender: str, request: RequestVote) -> None:
         last_entry = (self.log.last_term, self.log.last_index)
         is_up_to_date = (request.last_log_term, request.last_log_index) >= last_entry
-        # A member that was cut off and comes back would otherwise depose a leader that all others hear.
-        has_leader = self.is_leader or (bool(self.leader) and self._contact_ticks < ELECTION_TIMEOUT_TICKS)
+        # A member that was cut off and comes back would otherwise depose a leader that all others hear. A
+        # leader that asks itself has stepped down.
+        hears_leader = self.leader not in ("", sender) and self._contact_ticks < ELECTION_TIMEOUT_TICKS
+        has_leader = self.is_leader or hears_leader
         if request.pre_vote:
             granted = request.term > self.hard_state.term and is_up_to_date and not has_leader
             term = request.term if granted else self.hard_state.term
