--- a/frostfall/net/operations/coordinator.py
+++ b/frostfall/net/operations/coordinator.py
@@ -29,6 +29,8 @@
 from frostfall.recovery.readiness import ReadinessStage
 from frostfall.storage.segment_codec import RecordState
 
+REFUSAL_POLL_TIMEOUT = 100_000  # microseconds: a drain leaves 0.25 s for its last answers
+
 
 class OperationCoordinator:
     """Owns which request executes which operation."""
@@ -221,12 +223,35 @@
             self._finish_served(operation, attempt, answer)
             return
         if end is Final.REFUSED and operation.needs_poll and not operation.confirmed_absent:
-            answer = failed()  # an earlier attempt may have run at another member
+            self._refuse_if_absent(operation, attempt, answer)
+            return
         has_run = end is Final.FAILED and operation.dispatched
         self._endings.end(operation, RecordState.FAILED if has_run else RecordState.NOT_EXECUTED)
         attempt.notify(answer)
         self._endings.notify(operation, answer)
 
+    def _refuse_if_absent(self, operation: Operation, attempt: ClientAttempt, rejection: bytes) -> None:
+        """End an operation that never ran here, and whose earlier attempt may have run at another member.
+
+        The request was turned away before the members were polled, as an overloaded agent does. Without a
+        poll its client could only be told that the operation may have run.
+        """
+        self._endings.end(operation, RecordState.NOT_EXECUTED)
+        poll_until = self._context.clock() + REFUSAL_POLL_TIMEOUT + DEADLINE_MARGIN
+        deadline = min(operation.client_deadline, poll_until)
+
+        operation.waiters.insert(0, attempt)
+
+        async def poll_and_answer() -> None:
+            result = await self._settlement.find_result(operation.name, deadline)
+            is_absent = result is not None and result.status is OperationStatus.ABSENT
+            self._endings.notify(operation, rejection if is_absent else encode_result(result))
+
+        if self._context.task_group:
+            self._context.task_group.start_soon(poll_and_answer)
+        else:
+            self._endings.notify(operation, failed())
+
     def _finish_served(self, operation: Operation, attempt: ClientAttempt, answer: bytes) -> None:
         if self._context.operation_log.is_in_progress(operation):
             operation.waiters.insert(0, attempt)
--- a/frostfall/net/operations/settlement.py
+++ b/frostfall/net/operations/settlement.py
@@ -22,13 +22,34 @@
     async def find_result(self, name: str, deadline: int) -> OperationResult | None:
         """How an operation ended, by other members and by the replicas of those that cannot tell.
 
-        None where nobody knows. `deadline` is in microseconds, as everywhere here.
+        ABSENT where the records of all members are complete and lack it, None where nobody knows.
+        `deadline` is in microseconds, as everywhere here.
         """
         context, members = self._context, self._peer_poll.members
         replies = await self._peer_poll.poll(name, members, context.poll_timeout(deadline))
+        if self._is_absent_everywhere(name, replies, members):
+            return OperationResult(OperationStatus.ABSENT)
         owners = [context.name, *replies.silent_among(members), *context.removed_members]
         return best_result([replies.ended_result(), *await self.read_replicas(name, owners, deadline)])
 
+    def _is_absent_everywhere(self, name: str, replies: PollReplies, members: list[str]) -> bool:
+        context = self._context
+        is_complete = context.inputs.log_replayed and not context.operation_log.incomplete_reason
+        return (
+            is_complete
+            and not context.removed_members
+            and replies.all_absent(members)
+            and incarnations_agreed(context.membership, replies, members)
+            and self._lacks_record(name)
+        )
+
+    def _lacks_record(self, name: str) -> bool:
+        try:
+            return self._context.operation_log.lookup(name) is None
+        except (OSError, ValueError) as error:
+            self._context.on_unreadable(error)
+            return False
+
     async def read_replicas(
         self, name: str, owners: list[str], deadline: int, *, fence: bool = False
     ) -> list[OperationResult | None]:
