--- a/frostfall/mechanisms/turn_synchronizer.py
+++ b/frostfall/mechanisms/turn_synchronizer.py
@@ -38,7 +38,6 @@
 
     def observe_partner(self, now: Microseconds, sender: int) -> None:
         """A message of the running test has come from this agent's partner in the turn that both are in."""
-        self._samples.pop(sender, None)
         self._samples[sender] = _Sample(now, 0)
 
     def observe(self, now: Microseconds, sender: int, turn: int) -> None:
@@ -48,7 +47,6 @@
         ahead = self._ahead(now, sender, turn)
         if ahead is None:
             return
-        self._samples.pop(sender, None)
         self._samples[sender] = _Sample(now, ahead)
         # The way of a message, which is shorter than a turn, must not move the clocks of all.
         if abs(ahead) >= self._schedule.period:
--- a/frostfall/net/agent.py
+++ b/frostfall/net/agent.py
@@ -36,6 +36,7 @@
 from frostfall.net.streams import SocketBudget, open_listener_patiently
 from frostfall.net.supervision import keep_running
 from frostfall.net.upstream_pool import UpstreamPool
+from frostfall.policy import drain
 from frostfall.protocol.ending import Final
 from frostfall.protocol.listing import Listing
 from frostfall.protocol.pg_server import failed, refused
@@ -48,7 +49,6 @@
 )
 CLIENT_SOCKET_DIVISOR = 2  # of the descriptors: clients hold a third for requests, and some are silent
 UNREAD_MEMORY_DIVISOR = 8  # of the memory: what all clients together may have sent that is not parsed yet
-HELD_UP_MICROSECONDS = 150_000  # that a running process may be held up for, which the grace of a drain covers
 GC_THRESHOLD = 10_000  # objects allocated beyond those freed: some hundred requests in flight hold fewer
 
 _log = log.get_logger("agent")
@@ -368,7 +368,7 @@
 
 def _max_event_gap(settings: Settings) -> int:
     """The microseconds between two events beyond which the grace of a drain may have passed unnoticed."""
-    return max(settings.rules.drain_grace - HELD_UP_MICROSECONDS, HELD_UP_MICROSECONDS)
+    return max(settings.rules.drain_grace - drain.HELD_UP_MICROSECONDS, drain.HELD_UP_MICROSECONDS)
 
 
 def _usable_settings(config: Config) -> Settings:
--- a/frostfall/policy/drain.py
+++ b/frostfall/policy/drain.py
@@ -6,6 +6,7 @@
 LONGEST_COUNTED_SECONDS = 3.0  # a longer deadline does not put off the earliest SIGKILL, by the protocol
 ANSWER_MARGIN_SECONDS = 0.3  # before that SIGKILL, what is open gets its final answer ...
 EXIT_MARGIN_SECONDS = 0.05  # ... and the agent ends
+HELD_UP_MICROSECONDS = 150_000  # that a running process may be held up for, which the grace of a drain covers
 ABANDON_SECONDS = 0.25  # that an agent whose task was cancelled takes to deliver its last answers
 
 
