--- a/frostfall/net/agent.py
+++ b/frostfall/net/agent.py
@@ -122,6 +122,7 @@
             auto_restart=not config.settings.needs_watch,
             on_interruption=self._watch_interrupted,
             on_time=self._discovery_time_read,
+            before_answer=self._driver.notice_pause,
         )
         self.rollout_client = self._make_rollout_client()
         self._gossip = self._make_gossip_transport()
--- a/frostfall/net/discovery.py
+++ b/frostfall/net/discovery.py
@@ -38,11 +38,13 @@
         auto_restart: bool = False,
         on_interruption: Callable[[WatchInterruption], None] = lambda reason: None,
         on_time: Callable[[int], None] = lambda time: None,
+        before_answer: Callable[[], None] = lambda: None,
     ) -> None:
         """Watch for what is newer than generation `since`; `watch_renewal_period` is in microseconds.
 
         `on_interruption` is called when a watch that goes on may have missed changes, `on_time` before a list
-        whose answer tells the time, with microseconds of Unix time.
+        whose answer tells the time, with microseconds of Unix time. `before_answer` is called before an
+        answer that was read counts; where it calls `confirm`, that answer does not.
         """
         self._address = address
         self._since = since
@@ -51,6 +53,8 @@
         self._on_failure = on_failure
         self._on_interruption = on_interruption
         self._on_time = on_time
+        self._before_answer = before_answer
+        self._is_open_call_outdated = False  # began before a stop of the process: its answer is not to count
         # Whether the next call is to be answered soon, also where nothing has changed. So is the first one:
         # until then nobody vouches for the list of the configuration, and peers are asked in each turn.
         self._wants_answer = True
@@ -75,6 +79,7 @@
         """Call anew at once, to be answered soon: after a stop of the process the open call is not enough."""
         # What was written to the open call may be as old as the stop, and no further change is written to it.
         self._wants_answer = True
+        self._is_open_call_outdated = True
         self._requested.set()
         if self._watching:
             self._watching.cancel()
@@ -90,6 +95,7 @@
             why, answers_before = "failed", self._answer_count
             with anyio.CancelScope() as scope:
                 self._watching = scope
+                self._is_open_call_outdated = False
                 try:
                     why = await self._watch(scope)
                 except Exception:  # a task boundary: the next watch may go better
@@ -128,6 +134,10 @@
                 _log.info("watch silent")
                 self._on_interruption(WatchInterruption.SILENT)
                 return None
+            self._before_answer()
+            if self._is_open_call_outdated:
+                # A call whose answer has been read is not ended by its cancelled scope any more.
+                return "process stopped"
             self._wants_answer = False
             if isinstance(answer, CallFailed):
                 return answer.why
--- a/frostfall/net/engine_driver.py
+++ b/frostfall/net/engine_driver.py
@@ -50,7 +50,7 @@
 
     def post(self, event: api.Event) -> None:
         """Hand an event to the engine; those posted while it is handled follow in order."""
-        self._notice_pause()
+        self.notice_pause()
         self._events.append(event)
         if self._handling:
             return
@@ -63,10 +63,11 @@
 
     def may_write(self, now: int, request: str, attempt: int) -> bool:
         """The engine's last word before an attempt goes out, in a process that has not just been stopped."""
-        self._notice_pause()
+        self.notice_pause()
         return self._engine.may_write(now, request, attempt)
 
-    def _notice_pause(self) -> None:
+    def notice_pause(self) -> None:
+        """Call `on_pause` if the process has been stopped since the last event."""
         now = self._clock.now()
         gap, self._last_event_at = now - self._last_event_at, now
         if gap > self._max_gap:
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -227,3 +227,39 @@
         await watched.until(lambda: len(service.targets) == 2)
         assert service.targets[1] == "/v1/servers?since=41&timeout_ms=4000"
         group.cancel_scope.cancel()
+
+
+async def test_an_answer_that_waited_through_a_stop_of_the_process_counts_for_nothing() -> None:
+    """An answer is read, and only then it is noticed that the process was stopped meanwhile.
+
+    What happened: a call was answered "nothing has changed" just before the stop. Afterwards that answer
+    ended the wait for a fresh one (the log: "catching_up", and "held" with the same generation 0.3 ms later),
+    and requests went to servers that had drained meanwhile: 6 of 24 plays of test_paused_process beside load.
+    """
+
+    async def answer(stream: ByteStream, count: int) -> bool:
+        await stream.send(response(41 + count, whole=True))
+        return count < 2
+
+    def notice_stop() -> None:
+        nonlocal stops
+        stops += 1
+        if stops == 1:
+            client.confirm()
+
+    stops, lists, service = 0, list[Listing](), Service(answer)
+    async with listening(service) as address, anyio.create_task_group() as tasks:
+        client = DiscoveryClient(
+            address,
+            41,
+            8_000_000,
+            on_list=lists.append,
+            on_failure=lambda: None,
+            before_answer=notice_stop,
+        )
+        tasks.start_soon(client.run)
+        client.start_watch()
+        await till(lambda: bool(lists))
+        tasks.cancel_scope.cancel()
+    assert service.targets[:2] == ["/v1/servers?since=41&timeout_ms=200"] * 2
+    assert lists[0].generation == 43
