--- a/frostfall/net/discovery.py
+++ b/frostfall/net/discovery.py
@@ -150,6 +150,9 @@
             if watch.answered_at is not None:
                 self._on_time(watch.answered_at)
             self._on_list(answer)  # the next call has to go out within 200 ms of the answer
+            if self._is_open_call_outdated:  # the stop was noticed by this answer's own event, which renewed
+                self._on_interruption(WatchInterruption.PAUSED)
+                return "process stopped"
             if moved:
                 return "moved"
             if not watch.reusable:
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -11,6 +11,7 @@
 from anyio.abc import ByteStream
 
 from frostfall.config import Address
+from frostfall.interface import WatchInterruption
 from frostfall.net import discovery as driver
 from frostfall.net.discovery import DiscoveryClient
 from frostfall.protocol.listing import Listing
@@ -263,3 +264,33 @@
         tasks.cancel_scope.cancel()
     assert service.targets[:2] == ["/v1/servers?since=41&timeout_ms=200"] * 2
     assert lists[0].generation == 43
+
+
+async def test_a_stop_that_an_answers_own_event_shows_is_told_after_the_answer() -> None:
+    """The process is stopped while an answer is passed on, so that only the answer's event shows the stop."""
+
+    async def answer(stream: ByteStream, count: int) -> bool:
+        await stream.send(response(41 + count, whole=True))
+        return count < 2
+
+    def take_list(listing: Listing) -> None:
+        if not told:
+            client.confirm()
+        told.append(listing.generation)
+
+    told, service = list[object](), Service(answer)
+    async with listening(service) as address, anyio.create_task_group() as tasks:
+        client = DiscoveryClient(
+            address,
+            41,
+            8_000_000,
+            on_list=take_list,
+            on_failure=lambda: None,
+            on_interruption=told.append,
+        )
+        tasks.start_soon(client.run)
+        client.start_watch()
+        await till(lambda: 43 in told)
+        tasks.cancel_scope.cancel()
+    assert told[:4] == [WatchInterruption.PAUSED, 42, WatchInterruption.PAUSED, 43]
+    assert service.targets[1] == "/v1/servers?since=42&timeout_ms=200"
