--- a/review/lab.py
+++ b/review/lab.py
@@ -365,7 +365,16 @@
 class Lab:
     """Agents, appliances, discovery, the platform and the front's connections."""
 
-    def __init__(self, folder: Path, *, agents: int = 3, appliances: int = 6, work: float = 0.05) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        *,
+        agents: int = 3,
+        appliances: int = 6,
+        work: float = 0.05,
+        limits: dict[str, Any] | None = None,
+    ) -> None:
+        self._limits = limits or {}
         self.record = Record(folder / "record.txt")
         self.temporary = Path(tempfile.mkdtemp(prefix="review-"))
         self.appliances = [Appliance(self.record, f"s-{number}", work=work) for number in range(appliances)]
@@ -402,6 +411,7 @@
             config = example | {
                 "name": name,
                 "listen": listen[number],
+                "limits": example["limits"] | self._limits,
                 "discovery": self.discovery.address,
                 "seed": f"{0x8C1F30D27A5BE964 + number:x}",
                 "peer_listen": peers[number],
@@ -503,8 +513,10 @@
                 agent.idle.append(connection)
             break
         right = answer.what != "served" or answer.value == value_for(request)
+        # Not counted: a new connection that the agent closed without having sent anything on for its request.
+        events = {"none": "not answered", "closed": "closed"}
         self.record.add(
-            "answered" if answer.what not in ("none", "closed") else "not answered",
+            events.get(answer.what, "answered"),
             agent=agent.name,
             id=request,
             kind=kind,
