--- a/review/lab.py
+++ b/review/lab.py
@@ -7,8 +7,10 @@
 from __future__ import annotations
 
 import asyncio
+import importlib.util
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -26,8 +28,10 @@
 from typing import Any
 
 ROOT = Path(__file__).resolve().parent.parent
+FALLBACK = ROOT / "review" / "fallback"  # for requirements-group.txt, where it could not be installed
 PYTHON = ROOT / ".venv" / "bin" / "python"
 KEPT, BROKEN, NOT_RUN = 0, 1, 2  # exit codes of a test
+PORTS = (12_000, 32_000)  # below the range for outgoing connections
 READY_SECONDS = 30.0  # the time that an agent has to be ready
 SLACK_SECONDS = 0.55  # half a second after its time an answer only earns nothing; limits are 50 ms longer
 PROTOCOL_3 = 196608
@@ -387,11 +391,17 @@
         self.requests: set[asyncio.Task[None]] = set()
 
     def free_address(self, kind: int = socket.SOCK_STREAM) -> str:
-        """Return a free loopback address."""
-        claimed = socket.socket(socket.AF_INET, kind)
-        claimed.bind(("127.0.0.1", 0))
-        self._claimed.append(claimed)
-        return f"127.0.0.1:{claimed.getsockname()[1]}"
+        """Return a free loopback address, whose port no outgoing connection takes meanwhile."""
+        while True:
+            port = random.SystemRandom().randrange(*PORTS)
+            claimed = socket.socket(socket.AF_INET, kind)
+            try:
+                claimed.bind(("127.0.0.1", port))
+            except OSError:
+                claimed.close()
+                continue
+            self._claimed.append(claimed)
+            return f"127.0.0.1:{port}"
 
     async def open(self, operator: Callable[[int, list[str]], dict[str, Any] | None] | None = None) -> None:
         """Start the stand-ins and the agents, and wait until the agents are ready.
@@ -433,6 +443,8 @@
                 "PYTHONDONTWRITEBYTECODE": "1",
             }
             environment.pop("FROSTFALL_OPERATOR", None)
+            if not importlib.util.find_spec("crc32c"):
+                environment["PYTHONPATH"] = str(FALLBACK)
             if operator and (section := operator(number, names)):
                 operator_path = self.temporary / f"{name}.json5"
                 operator_path.write_text(json.dumps(section))
