--- a/review/1/test.py
+++ b/review/1/test.py
@@ -15,7 +15,8 @@
 RATE = 20.0  # requests a second at each agent
 QUIET, LOAD = 3.0, 15.0  # seconds of load before the bad client, and after it
 WAIT_MS = {"read": 2000, "order": 2000}
-BLANKS = 100_000  # in the bad client's line; an agent takes queries of up to 160 KiB
+BLANKS = 60_000  # in the bad client's line; an agent takes queries of up to 160 KiB
+WAKES_SECONDS = 60.0  # until the agent is given up, after the load
 OWED_SECONDS = 3.0  # a bad client is owed an error or a close within this time
 
 
@@ -54,6 +55,8 @@
             await asyncio.gather(*here.requests, return_exceptions=True)
         if bad:
             await bad
+        awake = await here.wait_responsive(here.agents[0], WAKES_SECONDS)
+        here.record.add("agent answers" if awake else "agent still silent", agent=here.agents[0].name)
         exited = [agent.name for agent in here.agents if agent.process and agent.process.poll() is not None]
     finally:
         here.close()
--- a/review/3/test.py
+++ b/review/3/test.py
@@ -63,7 +63,7 @@
             task.cancel()
         here.close()
     record = here.record
-    lost = record.of("not answered")
+    lost, late = record.of("not answered"), here.run_after_leaving()
     sent = len({each["id"] for each in record.of("sent")})
     answered = record.of("answered")
     wrong = [each for each in answered if not each["right"]]
@@ -72,9 +72,11 @@
         agent.name: len([each for each in lost if each["agent"] == agent.name]) for agent in here.agents
     }
     print(f"{sent} requests sent, {served} served, lost by agent: {by_agent}, ended: {exited}")
+    unsafe = len([each for each in late if each["kind"] == "order"])
+    print(f"sent to appliances after their clients had gone: {len(late)}, of these unsafe: {unsafe}")
     if served < sent / 4:
         raise lab.CannotRun(f"only {served} of {sent} requests were served at all")
-    return lab.BROKEN if lost or wrong or exited else lab.KEPT
+    return lab.BROKEN if lost or late or wrong or exited else lab.KEPT
 
 
 lab.main(FOLDER, test)
--- a/review/lab.py
+++ b/review/lab.py
@@ -32,6 +32,7 @@
 PYTHON = ROOT / ".venv" / "bin" / "python"
 KEPT, BROKEN, NOT_RUN = 0, 1, 2  # exit codes of a test
 PORTS = (12_000, 32_000)  # below the range for outgoing connections
+GONE_SECONDS = 0.15  # no attempt may begin 0.1 s after a client's close; limits are 50 ms longer
 READY_SECONDS = 30.0  # the time that an agent has to be ready
 SLACK_SECONDS = 0.55  # half a second after its time an answer only earns nothing; limits are 50 ms longer
 PROTOCOL_3 = 196608
@@ -485,6 +486,22 @@
             await asyncio.sleep(0.1)
         raise CannotRun(f"{agent.name} was not ready in time: {self.log_tail(agent)}")
 
+    async def wait_responsive(self, agent: Agent, seconds: float) -> bool:
+        """Wait until an agent answers an empty query again, at most so long."""
+        with suppress(TimeoutError, *_NETWORK_ERRORS):
+            async with asyncio.timeout(seconds):
+                connection = await Connection.open(agent.listen)
+                answer = await connection.ask(b"")
+                connection.close()
+                return answer.what == "empty"
+        return False
+
+    def run_after_leaving(self) -> list[dict[str, Any]]:
+        """Return what appliances were sent for requests whose clients had closed their connections before."""
+        left = {each["id"]: each["t"] for each in self.record.of("not answered")}
+        runs = self.record.of("run")
+        return [each for each in runs if each["t"] > left.get(each["id"], each["t"]) + GONE_SECONDS]
+
     def log_tail(self, agent: Agent) -> str:
         """Return the end of an agent's log."""
         return (self.temporary / f"{agent.name}.log").read_text(errors="replace")[-6000:]
