--- a/frostfall/protocol/statement.py
+++ b/frostfall/protocol/statement.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass
 
 _TEXT = rb"'([^']*(?:''[^']*)*)'"
+# Each repetition is followed by a character that it cannot match itself, so that a text which does not match
+# is given up in a time proportional to its length.
 _STATEMENT = re.compile(
     rb"\s*(?:SELECT payload FROM entries WHERE ref = "
     + _TEXT
@@ -18,7 +20,7 @@
     + rb", "
     + _TEXT
     + rb"\) RETURNING payload)"
-    + rb"\s*/\*([^*]*)\*/\s*;?\s*\Z"
+    + rb"\s*/\*([^*]*)\*/\s*(?:;\s*)?\Z"
 )
 _PAIR = re.compile(rb"\s*([A-Za-z_][\w.-]*)=([^\s,]*)\s*\Z")
 _ID = re.compile(rb"[0-9a-zA-Z_.:-]{1,64}\Z")
--- a/tests/test_statement.py
+++ b/tests/test_statement.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import time
+
 import pytest
 
+from frostfall.protocol import pg
 from frostfall.protocol.statement import Statement, load_values, parse
 
 READ = b"SELECT payload FROM entries WHERE ref = '7f3a' /* id=9b1f,c=basket,d=480 */"
@@ -11,6 +14,16 @@
     b"INSERT INTO entries (ref, payload) VALUES ('7f3a', '\\x9f03') RETURNING payload "
     b"/* id=9b20,c=order,d=1480,r=1,h=12000,k=x */"
 )
+# The last part does not belong to a statement, so that the whole text has to be given up.
+STATEMENT_PARTS = (
+    b"INSERT INTO entries (ref, payload) VALUES ('7f3a', '",
+    b"') RETURNING payload",
+    b"/* id=1,",
+    b"c=order,d=9 */",
+    b";",
+    b"x",
+)
+MAX_PARSE_SECONDS = 0.15  # of processor time: no more than an agent may be held up
 
 
 def parsed(text: bytes) -> Statement:
@@ -86,6 +99,34 @@
     assert isinstance(parse(text), str)
 
 
+# Guards against one line of blanks behind a statement that kept the agent's only thread busy for 25 s.
+@pytest.mark.parametrize(
+    "filler", [b" ", b"\n", b";", b" ;", b"'", b"''", b"', '", b"*", b"/*", b",", b"a=", b"1"]
+)
+def test_the_longest_statement_is_parsed_in_time_wherever_it_is_filled_up(filler: bytes) -> None:
+    filling = filler * (pg.MAX_MESSAGE_BYTES // len(filler))
+    for index in range(len(STATEMENT_PARTS) + 1):
+        text = b"".join((*STATEMENT_PARTS[:index], filling, *STATEMENT_PARTS[index:]))
+        started_at = time.process_time()
+        parse(text)
+        assert time.process_time() - started_at < MAX_PARSE_SECONDS, f"part {index}"
+
+
+def test_a_comment_with_thousands_of_fields_is_parsed_in_time() -> None:
+    fields = b",".join(b"f%d=" % number for number in range(pg.MAX_MESSAGE_BYTES // len(b"f10000=,")))
+    text = READ.replace(b"id=", fields + b",id=")
+    started_at = time.process_time()
+    statement = parsed(text)
+    assert time.process_time() - started_at < MAX_PARSE_SECONDS
+    assert statement.field("id") == "9b1f"
+
+
+@pytest.mark.parametrize("end", [b"", b";", b" ", b" ;", b"; ", b" \n;\t "])
+def test_blanks_and_one_semicolon_may_follow_a_statement(end: bytes) -> None:
+    assert parsed(READ + end).request == "9b1f"
+    assert isinstance(parse(READ + end + b";;"), str)
+
+
 def test_load_values() -> None:
     assert load_values("inflight=7,util=0.61") == {"inflight": 7.0, "util": 0.61}
     assert load_values("inflight=x, queue=2") == {}
