--- a/frostfall/net/requests.py
+++ b/frostfall/net/requests.py
@@ -156,9 +156,13 @@
         return None
 
     def client_disconnected(self, client: ClientConnection) -> None:
-        """Cancel the pending request of a client that has disconnected, if there is one."""
+        """Cancel the pending request of a client that has disconnected, if there is one.
+
+        Another client's request may have the same id: in a group, the client that has disconnected may have
+        waited for the operation of that request.
+        """
         name, client.request = client.request, None
-        if name is not None and (request := self._requests.get(name)):
+        if name is not None and (request := self._requests.get(name)) and request.client is client:
             request.done = True
             if self._trace.enabled:
                 self._trace.record(Step.CLIENT_LEFT, request=name)
--- /dev/null
+++ b/tests/test_shared_request_ids.py
@@ -0,0 +1,110 @@
+"""Clients of a group member that send the id of another client's open request, and leave."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+
+from frostfall.net.agent import Agent
+from frostfall.protocol import pg
+from frostfall.recovery.readiness import ReadinessStage
+from tests.standins import (
+    Client,
+    free_port,
+    instance,
+    make_config,
+    read_statement,
+    row,
+    tcp_server,
+    write_statement,
+)
+from tests.test_agent import serving
+from tests.test_crossing_pool import ScriptedServer, wait_until
+
+pytestmark = pytest.mark.anyio
+OPTIONS = """{group: {data: "%s", key: "a key of this test", new: true, operation: "k", waits: {list: 0.1},
+              members: [{name: "n3", address: "127.0.0.1:%d"}]}}"""
+WAIT_MS = 5000
+
+
+def write_for(operation: str, request: str) -> bytes:
+    """Return a write statement whose comment names its operation."""
+    return write_statement(request, WAIT_MS).replace(b" */", b",k=%b */" % operation.encode())
+
+
+@asynccontextmanager
+async def serving_group_member(directory: Path, server: ScriptedServer) -> AsyncIterator[Agent]:
+    """Run an agent that is the only member of its group, once it admits non-idempotent requests."""
+    options = OPTIONS % (directory / "data", free_port())
+    async with (
+        tcp_server(server) as address,
+        serving(make_config(instance("s-1", address), options=options)) as agent,
+    ):
+        member = agent._group_member
+        assert member is not None
+        await wait_until(lambda: member.readiness.is_ready(ReadinessStage.NON_IDEMPOTENT))
+        yield agent
+
+
+async def leave(agent: Agent, client: Client) -> None:
+    """Close a client's connection and wait until the agent has removed it."""
+    open_before = len(agent.clients)
+    await client.stream.aclose()
+    await wait_until(lambda: len(agent.clients) == open_before - 1)
+
+
+async def wait_until_accepted(agent: Agent, count: int) -> None:
+    """Wait until this number of queries await an answer."""
+    await wait_until(lambda: len(agent.pending_answers) == count)
+
+
+# Guards against a request that ran and was never answered, because a client that had sent its id left.
+async def test_a_request_is_answered_though_another_client_that_sent_its_id_has_left(tmp_path: Path) -> None:
+    server = ScriptedServer()
+    async with serving_group_member(tmp_path, server) as agent:
+        first, second = [await Client.connect(agent.config.listen) for _ in range(2)]
+        await first.send_query(write_for("op", "same"))
+        connection, _ = await server.wait_for_query(1)
+        await second.send_query(write_for("op", "same"))
+        await wait_until_accepted(agent, 2)
+        await leave(agent, second)
+        await server.streams[connection].send(row(b"value") + pg.READY_FOR_QUERY)
+        assert (await first.receive_answer())[0] == b"D"
+        assert len(server.queries) == 1
+        await wait_until(lambda: not agent.requests)
+
+
+# Guards against the same where the client that leaves sent the id first, for an operation that it waits for.
+async def test_a_request_is_answered_though_a_waiting_client_with_its_id_has_left(tmp_path: Path) -> None:
+    server = ScriptedServer()
+    async with serving_group_member(tmp_path, server) as agent:
+        first, second, third = [await Client.connect(agent.config.listen) for _ in range(3)]
+        await first.send_query(write_for("op", "first"))
+        await server.wait_for_query(1)
+        await second.send_query(write_for("op", "same"))
+        await wait_until_accepted(agent, 2)
+        await third.send_query(read_statement("same", WAIT_MS))
+        connection, _ = await server.wait_for_query(2)
+        await leave(agent, second)
+        await server.streams[connection].send(row(b"value") + pg.READY_FOR_QUERY)
+        assert (await third.receive_answer())[0] == b"D"
+
+
+async def test_a_request_ends_as_its_own_client_leaves_and_the_client_that_joined_it_is_answered(
+    tmp_path: Path,
+) -> None:
+    server = ScriptedServer()
+    async with serving_group_member(tmp_path, server) as agent:
+        first, second = [await Client.connect(agent.config.listen) for _ in range(2)]
+        await first.send_query(write_for("op", "same"))
+        await server.wait_for_query(1)
+        await second.send_query(write_for("op", "same"))
+        await wait_until_accepted(agent, 2)
+        await leave(agent, first)
+        kind, _ = await second.receive_answer()
+        assert kind == b"E"
+        assert len(server.queries) == 1
+        await wait_until(lambda: not agent.requests)
