--- a/frostfall/net/client_connection.py
+++ b/frostfall/net/client_connection.py
@@ -119,6 +119,11 @@
         """True if no query is pending or partly read and the connection is not closing."""
         return not (self._protocol.busy or self._protocol.buffered or self._closing)
 
+    @property
+    def has_partial_query(self) -> bool:
+        """True if a query is partly read, and all queries before it are answered."""
+        return self._protocol.has_partial_message and not self._closing
+
     @property
     def closing(self) -> bool:
         """True if the connection closes as soon as its output is delivered."""
@@ -166,6 +171,22 @@
         if not (self._protocol.busy or self._protocol.buffered or self._stream.has_input):
             self._begin_closing(reason)
 
+    def evict(self) -> bool:
+        """Close to free the descriptor; False, without effect, if the connection has to stay for now.
+
+        It has to stay while a whole query may be pending on it, and while output is queued. A partly read
+        query has not been accepted, so that it is rejected.
+        """
+        if self._closing or self._disconnected or self._output or self._stream.has_input:
+            return False
+        if not (self.idle or self.has_partial_query):
+            return False
+        if self.has_partial_query:
+            self._send(self._protocol.reject_for_capacity().data)
+        self.draining = True
+        self._begin_closing(CloseReason.NEEDED_ROOM)
+        return True
+
     def finish(self) -> None:
         """Close now: answer the queries already read, reject a partly read query, and read no further."""
         self.draining = True
@@ -415,6 +436,7 @@
         is_partial = self._protocol.buffered and not (self._protocol.busy or self._closing or self._output)
         if is_partial and self.progress.partial_since is None:
             self.progress.partial_since = self._owner.monitor.now
+            self._owner.mark_partial(self)
             has_minimum_rate = self._owner.slow_peers.options.clients.sending
             self._owner.monitor.schedule(
                 self, CHECK_INTERVAL_SECONDS if has_minimum_rate else IDLE_CLOSE_SECONDS
--- a/frostfall/net/client_connections.py
+++ b/frostfall/net/client_connections.py
@@ -20,6 +20,7 @@
     IDLE_CLOSE_SECONDS,
     ClientConnection,
 )
+from frostfall.net.client_eviction import EvictionOrder
 from frostfall.net.client_interfaces import QueryHandler
 from frostfall.net.connection_monitor import ConnectionMonitor
 from frostfall.net.pending_answers import PendingAnswers
@@ -27,7 +28,6 @@
 from frostfall.net.streams import SocketBudget, Stream
 from frostfall.net.supervision import run_with_restarts
 
-NEW_CONNECTION_GRACE_SECONDS = 0.05  # before a connection counts as silent; most clients write immediately
 ACCEPT_PENDING_SECONDS = 0.6  # to accept the full kernel queue after accepting has stopped, also under load
 IDLE_CLOSE_FILL_FRACTION = 0.5  # of the connection limit; above it, connections idle for long are closed
 
@@ -37,8 +37,8 @@
 class ClientConnections:
     """Owns the open connections. Implements `ConnectionOwner` and `AcceptTarget`.
 
-    When a limit is reached, connections are closed in this order: the oldest connection that has sent no
-    query, an idle connection of the upstream pool, the client's connection idle longest after its answer.
+    When a limit is reached, connections are closed in this order: a client's connection without a whole
+    query, an idle connection of the upstream pool, the client's connection idle for longest.
     """
 
     def __init__(
@@ -63,6 +63,7 @@
         self.pending_answers = PendingAnswers() if pending_answers is None else pending_answers
         self.max_request_seconds = max_request_seconds
         self.malformed_counts = Counter[str]()  # rejected input by reason, since the last health log line
+        self.evictions = EvictionOrder()
         self.sockets = sockets
         self.buffered_bytes = 0  # unprocessed input of all connections
         self._handler = handler
@@ -70,9 +71,6 @@
         self._max_buffered_bytes = max_buffered_bytes
         self._evict_other = evict_other
         self._open: set[ClientConnection] = set()
-        # Both are in insertion order and exclude connections that are closing.
-        self._silent: dict[ClientConnection, None] = {}
-        self._idle: dict[ClientConnection, None] = {}
         self._draining = False
         self._connection_tasks: TaskGroup | None = None
         self._side_tasks: TaskGroup | None = None
@@ -145,7 +143,7 @@
         if len(self._open) <= self._max_connections * IDLE_CLOSE_FILL_FRACTION:
             return
         before = monotonic() - IDLE_CLOSE_SECONDS
-        for client in list(self._idle):  # ordered by the time of the last answer
+        for client in self.evictions.idle:
             if client.idle:
                 if client.last_used_at > before:
                     break
@@ -170,7 +168,7 @@
         client.draining = self._draining or is_overflow
         self._open.add(client)
         self.sockets.used += 1
-        self._silent[client] = None
+        self.evictions.mark_silent(client)
         if self._connection_tasks:
             self._connection_tasks.start_soon(self._serve, client)
 
@@ -179,12 +177,8 @@
         self.malformed_counts[f"cannot accept: {error.strerror}"] += 1
 
     def close_silent(self) -> bool:
-        """Close the oldest connection without a query; False if there is none or it is new."""
-        oldest = next(iter(self._silent), None)
-        if oldest is None or monotonic() - oldest.opened_at <= NEW_CONNECTION_GRACE_SECONDS:
-            return False
-        oldest.close_when_idle()
-        return True
+        """Close a connection without a whole query that is not new; return False if none can be closed."""
+        return self.evictions.evict_silent()
 
     async def _serve(self, client: ClientConnection) -> None:
         try:
@@ -201,15 +195,11 @@
 
     def _free_capacity(self) -> bool:
         """Evict a connection if the limit is reached; return whether one more can be served."""
-        if not self.is_full:
-            return True
-        if self.close_silent():
+        if not self.is_full or self.evictions.evict_silent():
             return True
         if len(self._open) < self._max_connections and self._evict_other():
             return True
-        if idle := next(iter(self._idle), None):
-            idle.close_when_idle()
-        return idle is not None
+        return self.evictions.evict_idle()
 
     @property
     def memory_exceeded(self) -> bool:
@@ -242,25 +232,25 @@
             evicted.shed(reason)
 
     def mark_active(self, client: ClientConnection) -> None:
-        """Record that the connection has sent a query."""
-        self._silent.pop(client, None)
-        self._idle.pop(client, None)
+        """Record that the connection has sent a whole query."""
+        self.evictions.remove(client)
 
     def mark_idle(self, client: ClientConnection) -> None:
         """Record that the connection's query has been answered."""
         if client.idle:
-            self._idle[client] = None
+            self.evictions.mark_idle(client)
+
+    def mark_partial(self, client: ClientConnection) -> None:
+        """Record that a partial query has begun on the connection."""
+        self.evictions.mark_partial(client)
 
     def mark_closing(self, client: ClientConnection) -> None:
         """Record that the connection is closing."""
-        self._silent.pop(client, None)
-        self._idle.pop(client, None)
+        self.evictions.remove(client)
 
     def promote(self, client: ClientConnection) -> bool:
         """Evict a silent connection and serve the overflow connection instead; False if none is silent."""
-        oldest = next((other for other in self._silent if not other.is_overflow), None)
-        if oldest is None:
+        if not self.evictions.replace_silent():
             return False
-        oldest.close_when_idle()
         client.is_overflow, client.draining = False, self._draining
         return True
--- a/frostfall/net/client_interfaces.py
+++ b/frostfall/net/client_interfaces.py
@@ -54,7 +54,10 @@
         """Shed connections until buffered output is within limits, after `client`'s output has changed."""
 
     def mark_active(self, client: ClientConnection) -> None:
-        """Record that the connection has sent a query."""
+        """Record that the connection has sent a whole query."""
+
+    def mark_partial(self, client: ClientConnection) -> None:
+        """Record that a partial query has begun on the connection."""
 
     def mark_idle(self, client: ClientConnection) -> None:
         """Record that the connection's query has been answered."""
--- a/frostfall/net/health_log.py
+++ b/frostfall/net/health_log.py
@@ -56,6 +56,7 @@
             connections=len(self.upstream_connections),
             requests=len(self.requests),
             malformed=dict(self.clients.malformed_counts),
+            evicted=dict(self.clients.evictions.counts),
             shed=self.slow_peers.shed_counter.totals(),
             waiting=self.slow_peers.budget.buffered_bytes,
             violations=self.invariants.counts,
@@ -65,6 +66,7 @@
             slept_s=round(self.monitor.clock.stalled_seconds, 3),
         )
         self.clients.malformed_counts.clear()
+        self.clients.evictions.counts.clear()
 
     def _open_descriptors(self) -> int:
         try:
--- a/frostfall/protocol/pg_server.py
+++ b/frostfall/protocol/pg_server.py
@@ -52,12 +52,18 @@
         """Begin with nothing received."""
         self._buffer = ReceiveBuffer(pg.MAX_BUFFER_BYTES)
         self._started = self._busy = self._closed = self._overflow = False
+        self._needs_input = True  # no further event follows until more bytes have been received
 
     @property
     def buffered(self) -> int:
         """The number of bytes that have not been parsed."""
         return len(self._buffer)
 
+    @property
+    def has_partial_message(self) -> bool:
+        """Return whether the bytes that have not been parsed are the beginning of one message."""
+        return self._needs_input and len(self._buffer) > 0
+
     @property
     def closed(self) -> bool:
         """Return whether the connection has ended, so that no event follows."""
@@ -70,6 +76,7 @@
 
     def feed(self, data: bytes) -> None:
         """Process received bytes."""
+        self._needs_input = False
         self._overflow = self._overflow or not self._buffer.feed(data)
 
     def mark_answered(self) -> None:
@@ -83,6 +90,7 @@
         event = self._next_query_event() if self._started else self._next_startup_event()
         if event is None and self._overflow:
             event = self.close_malformed(MalformedReason.OVERSIZE)
+        self._needs_input = event is None
         self._closed = isinstance(event, Closed)
         return event
 
@@ -96,6 +104,11 @@
         self._closed = True
         return Closed(pg.error_response("FATAL", "57P03", "shutting down: try again elsewhere"))
 
+    def reject_for_capacity(self) -> Closed:
+        """Close a connection with a partly received query because its place is needed for another one."""
+        self._closed = True
+        return Closed(pg.error_response("FATAL", "53300", "refused: too many connections"))
+
     def _next_startup_event(self) -> Event | None:
         packet = pg.next_startup(self._buffer)
         if packet is None:
--- a/tests/test_net_client_connections.py
+++ b/tests/test_net_client_connections.py
@@ -13,7 +13,8 @@
 from frostfall.config import Address
 from frostfall.net.client_acceptor import MAX_OVERFLOW_CONNECTIONS
 from frostfall.net.client_connection import IDLE_CLOSE_SECONDS, ClientConnection
-from frostfall.net.client_connections import NEW_CONNECTION_GRACE_SECONDS, ClientConnections
+from frostfall.net.client_connections import ClientConnections
+from frostfall.net.client_eviction import NEW_CONNECTION_GRACE_SECONDS
 from frostfall.net.streams import SocketBudget, Stream, open_listener
 from frostfall.protocol import pg, pg_server
 from tests.standins import TEST_TIMEOUT_SECONDS, read_statement
@@ -186,6 +187,71 @@
         assert len(clients) <= 20 + MAX_OVERFLOW_CONNECTIONS + 1
 
 
+HALF_QUERY = query(read_statement("a1"))[:20]
+STARTUP = pg.startup(user="web")
+
+
+# Guards against clients that stop in mid-command: their connections counted as closed, and stayed for 2 s.
+@pytest.mark.parametrize(
+    "sent",
+    [STARTUP[:6], STARTUP + HALF_QUERY, STARTUP + query(b"") + HALF_QUERY],
+    ids=["startup", "first", "later"],
+)
+async def test_hundreds_of_partial_queries_do_not_exclude_clients_with_queries(sent: bytes) -> None:
+    async with serving(max_connections=20) as (clients, handler, dial):
+        partial = [await dial(startup=False) for _ in range(300)]
+        for peer in partial:
+            peer.raw.sendall(sent)
+        started_at = anyio.current_time()
+        peers = [await dial(wait=False) for _ in range(4)]
+        for number, peer in enumerate(peers):
+            await peer.stream.send(query(read_statement(f"a{number}")))
+        await wait_until(lambda: len(handler.queries) == 4)
+        assert anyio.current_time() - started_at < 1.5
+        assert len(clients) <= 20 + MAX_OVERFLOW_CONNECTIONS + 1
+        assert b"C53300" in await partial[0].receive_rest()
+        assert clients.evictions.counts["partial query"] >= 300 - 20 - MAX_OVERFLOW_CONNECTIONS
+
+
+async def test_an_overflow_connection_takes_the_place_of_one_with_a_partial_query() -> None:
+    async with serving(max_connections=2) as (clients, handler, dial):
+        busy, partial = [await dial() for _ in range(2)]
+        await busy.stream.send(query(read_statement("a1")))
+        await partial.stream.send(HALF_QUERY)
+        overflow = await dial()  # within the grace of the partial query
+        await overflow.stream.send(query(read_statement("a2")))
+        await wait_until(lambda: len(handler.queries) == 2)
+        assert b"C53300" in await partial.receive_rest()
+        await wait_until(lambda: len(clients) == 2)
+
+
+async def test_a_connection_with_unread_input_is_not_evicted() -> None:
+    async with serving(max_connections=2) as (clients, handler, dial):
+        older, newer = [await dial() for _ in range(2)]
+        await anyio.sleep(NEW_CONNECTION_GRACE_SECONDS * 1.5)
+        older.raw.sendall(query(read_statement("a1")))  # the agent has not read it as the next one connects
+        assert clients.close_silent()
+        assert await newer.receive_rest() == pg_server.STARTUP_RESPONSE
+        await wait_until(lambda: handler.queries)
+        assert not clients.close_silent()
+
+
+async def test_a_stalled_partial_query_is_evicted_before_an_older_silent_connection() -> None:
+    async with serving(max_connections=3) as (clients, _, dial):
+        silent, partial, uploading = [await dial() for _ in range(3)]
+        await partial.stream.send(HALF_QUERY)
+        await anyio.sleep(NEW_CONNECTION_GRACE_SECONDS * 1.5)
+        await uploading.stream.send(HALF_QUERY)
+        await wait_until(lambda: clients.buffered_bytes == 2 * len(HALF_QUERY))
+        new = list[Peer]()
+        for evicted in (partial, silent):
+            assert silent.stream.is_quiet and uploading.stream.is_quiet
+            new.append(await dial())
+            await evicted.receive_rest()
+        assert b"C53300" in partial.data and silent.data == pg_server.STARTUP_RESPONSE
+        assert uploading.stream.is_quiet
+
+
 async def test_the_order_of_eviction_is_silent_then_pool_then_idle() -> None:
     evictions = list[int]()
     async with serving(max_connections=3, evict_other=lambda: bool(evictions.append(1))) as (_, _, dial):
--- a/tests/test_pg_server.py
+++ b/tests/test_pg_server.py
@@ -71,6 +71,20 @@
     assert isinstance(machine.next_event(), Query)
 
 
+def test_a_message_counts_as_partial_once_all_queries_before_it_are_answered() -> None:
+    machine = ServerProtocol()
+    machine.feed(STARTUP[:6])
+    assert machine.next_event() is None and machine.has_partial_message
+    machine.feed(STARTUP[6:] + query(SELECT) * 2 + query(SELECT)[:9])
+    events = []
+    while not machine.has_partial_message:
+        events.append(machine.next_event())
+        machine.mark_answered()
+    assert events == [Reply(pg_server.STARTUP_RESPONSE), Query(SELECT), Query(SELECT), None]
+    machine.feed(query(SELECT)[9:])
+    assert not machine.has_partial_message and machine.next_event() == Query(SELECT)
+
+
 @pytest.mark.parametrize("code", [pg.SSL_REQUEST, pg.GSSENC_REQUEST])
 def test_encryption_is_declined_and_a_startup_packet_may_follow(code: int) -> None:
     events = parse_stream(struct.pack("!II", 8, code) + STARTUP, 1)
