--- a/frostfall/net/client_connection.py
+++ b/frostfall/net/client_connection.py
@@ -143,6 +143,12 @@
             bool(self._output) and self._owner.slow_peers.budget.saturated
         )
 
+    def detect_disconnection(self) -> bool:
+        """Return whether the client has disconnected, even if the end of its stream has not been read yet."""
+        if not self._disconnected and self._stream.peer_has_closed:
+            self._abort(CloseReason.CLIENT_LEFT)
+        return self._disconnected
+
     def answer(self, data: bytes) -> None:
         """Send the final answer to the pending query; processing of the next query can then start."""
         self.request = None
@@ -404,8 +410,7 @@
             else:
                 self._answer_sent = anyio.Event()
                 await self._answer_sent.wait()
-        if self._stream.peer_has_closed:
-            self._abort(CloseReason.CLIENT_LEFT)
+        self.detect_disconnection()
 
     async def _process_buffered(self) -> None:
         """Handle the buffered messages, one time slice after another."""
@@ -464,6 +469,8 @@
                 self._begin_closing(CloseReason.MALFORMED if why else CloseReason.CLIENT_TERMINATED)
 
     def _handle_query(self, text: bytes) -> None:
+        if self.detect_disconnection():  # the connection may have waited long to be accepted or read
+            return
         self._pending.accept(self)
         if not self._pending.admitting:
             self._trace_rejection(RejectReason.DRAINING)
--- a/frostfall/net/requests.py
+++ b/frostfall/net/requests.py
@@ -279,6 +279,7 @@
         # The address may have changed since the attempt began; another process may listen at the old one.
         if (
             request.done
+            or request.client.detect_disconnection()
             or self._endpoints.address_of(action.server) != dispatch.target
             or not self._may_write(now, action.request, dispatch.number)
         ):
--- a/tests/test_crossing_requests.py
+++ b/tests/test_crossing_requests.py
@@ -4,6 +4,7 @@
 
 import importlib
 import pkgutil
+import socket
 from contextlib import suppress
 from typing import Any
 
@@ -14,9 +15,12 @@
 
 import frostfall
 from frostfall import interface as api
+from frostfall.bench.peers import WELCOME
+from frostfall.config import Address
 from frostfall.net.agent import Agent
 from frostfall.policy.rollout_test import EXCHANGE_PERIOD
 from frostfall.protocol import pg
+from frostfall.protocol.pg import MAX_READ_BYTES
 from tests.standins import (
     EXAMPLE,
     STREAM_ERRORS,
@@ -84,6 +88,27 @@
         await wait_until(lambda: agent.upstream_pool.sockets.used == len(agent.upstream_pool))
 
 
+# Guards against an attempt for a client that left while the agent was held up: it was written first.
+async def test_no_attempt_is_written_if_its_client_leaves_while_the_agent_does_not_run() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = Address(*listener.getsockname())
+        async with serving(make_config(instance("s-1", address))) as agent:
+            listen = agent.config.listen
+            client = socket.create_connection((listen.host, listen.port))
+            client.sendall(pg.startup(user="web") + pg.frame(b"Q", read_statement("g1", 5000) + b"\0"))
+            await anyio.wait_readable(listener)
+            upstream, _ = listener.accept()
+            upstream.setblocking(False)
+            await anyio.wait_readable(upstream)
+            upstream.recv(MAX_READ_BYTES)
+            # The event loop does not run in between: the answer to the startup is read before the disconnect.
+            upstream.send(WELCOME)
+            client.close()
+            await wait_until(lambda: not len(agent.clients) and not agent.requests)
+            with pytest.raises(BlockingIOError):
+                upstream.recv(MAX_READ_BYTES)
+
+
 async def test_a_request_with_the_id_of_another_clients_request_never_gets_its_answer() -> None:
     desk = ScriptedServer()
     async with tcp_server(desk) as address, serving(make_config(instance("s-1", address))) as agent:
--- a/tests/test_net_client_connections.py
+++ b/tests/test_net_client_connections.py
@@ -131,6 +131,17 @@
         await wait_until(lambda: handler.disconnect_count == 1)
 
 
+# Guards against requests of clients that had gone: they were sent to servers one to two seconds later.
+async def test_a_query_whose_client_left_before_its_connection_was_accepted_is_not_handled() -> None:
+    async with serving() as (clients, handler, dial):
+        probe = await dial(startup=False)
+        with socket.create_connection(probe.raw.getpeername()) as gone:
+            gone.sendall(STARTUP + query(b"") + query(read_statement("a1")) * 2)
+        await wait_until(lambda: handler.disconnect_count)
+        assert not handler.queries and not len(clients.pending_answers)
+        assert not clients.pending_answers.invariants.counts
+
+
 async def test_connections_without_a_whole_query_are_closed_in_time() -> None:
     async with serving() as (clients, _, dial):
         started_at = anyio.current_time()
