--- a/frostfall/net/client_connection.py
+++ b/frostfall/net/client_connection.py
@@ -106,14 +106,22 @@
     def _answer_remaining(self) -> None:
         """Send final answers to the queries already read, as far as the kernel accepts the data."""
         try:
-            if self._protocol.busy:
-                self.answer(pg_server.failure_answer())
-            while isinstance(self._protocol.next_event(), Query):
-                self._pending.accept(self)
-                self.answer(pg_server.rejection_answer(0))
+            self._answer_read_queries(RejectReason.FAULT)
         except Exception:  # the stream has to be closed in spite of an error here
             _log.exception("last answers failed", connection=self.number)
 
+    def _answer_read_queries(self, reason: RejectReason) -> None:
+        """Send final answers to the pending query, which may have run, and to those read after it."""
+        if self._protocol.busy:
+            self.answer(pg_server.failure_answer())
+        while (event := self._protocol.next_event()) is not None:
+            if isinstance(event, Query):
+                self._pending.accept(self)
+                self._trace_rejection(reason)
+                self.answer(pg_server.rejection_answer(0))
+            else:
+                self._send(event.data)
+
     @property
     def idle(self) -> bool:
         """True if no query is pending or partly read and the connection is not closing."""
@@ -198,13 +206,8 @@
         self.draining = True
         if self._closing or self._disconnected or self._protocol.closed:
             return
-        if self._protocol.busy:
-            self.answer(pg_server.failure_answer())
-        while isinstance(event := self._protocol.next_event(), Query):
-            self._pending.accept(self)
-            self._trace_rejection(RejectReason.SHUTDOWN)
-            self.answer(pg_server.rejection_answer(0))
-        if event is None and self._protocol.buffered:
+        self._answer_read_queries(RejectReason.SHUTDOWN)
+        if self._protocol.has_partial_message:
             self._send(self._protocol.reject_partial_query().data)
         self._begin_closing(CloseReason.SHUTDOWN)
 
--- a/frostfall/net/reasons.py
+++ b/frostfall/net/reasons.py
@@ -35,3 +35,4 @@
     DRAINING = "admission has ended"
     OVERFLOW = "no room for its connection"
     SHUTDOWN = "the agent's time to shut down is over"
+    FAULT = "a fault of the agent"
--- a/tests/test_answer_owner.py
+++ b/tests/test_answer_owner.py
@@ -70,6 +70,25 @@
         assert not clients.pending_answers.invariants.counts
 
 
+# Guards against queries that were read behind an empty one and got no answer as their connection was closed.
+@pytest.mark.parametrize("ends_by_fault", [False, True])
+async def test_queries_read_behind_an_empty_one_are_answered_as_their_connection_ends(
+    ends_by_fault: bool,
+) -> None:
+    async with serving_clients() as (clients, front, dial):
+        peer = await dial()
+        queries = [read_statement("a1"), b"", read_statement("a2")]
+        await peer.stream.send(b"".join(map(query, queries)))
+        await wait_until(lambda: front.queries)
+        if ends_by_fault:
+            front.clients[0]._end_after_fault()
+        else:
+            clients.finish()
+        answers = pg_server.failure_answer() + pg_server.EMPTY_QUERY_RESPONSE + pg_server.rejection_answer(0)
+        assert (await peer.receive_rest()).endswith(answers)
+        assert not clients.pending_answers.invariants.counts
+
+
 async def test_a_client_that_always_pipelines_queries_does_not_delay_the_end_of_a_drain() -> None:
     appliance = StandInServer()
     async with tcp_server(appliance) as address:
