--- a/frostfall/net/client_eviction.py
+++ b/frostfall/net/client_eviction.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from collections.abc import Iterable, Iterator
+from enum import Enum
 from time import monotonic
 from typing import TYPE_CHECKING
 
@@ -13,12 +14,18 @@
 NEW_CONNECTION_GRACE_SECONDS = 0.05  # before a connection counts as silent; most clients write immediately
 
 
+class EvictionGroup(Enum):
+    """What a connection without a query in progress has sent; the values are those of the log."""
+
+    SILENT = "silent"  # nothing of a query so far
+    PARTIAL = "partial query"  # the beginning of a query
+    IDLE = "idle"  # nothing since its last answer
+
+
 class EvictionOrder:
     """The connections without a query in progress, in the order in which they are closed.
 
-    Silent connections have sent nothing of a query so far, partial ones the beginning of a query, and idle
-    ones nothing since their last answer. Each group is in the order in which its connections joined it, and
-    excludes connections that are closing.
+    Each group is in the order in which its connections joined it, and excludes connections that are closing.
 
     Only a connection that closes at once counts as evicted: one that has to stay, as a query may be pending
     on it, is passed over for the next.
@@ -26,7 +33,7 @@
 
     def __init__(self) -> None:
         """Begin without connections."""
-        self.counts = Counter[str]()  # evicted connections by group, since the last health log line
+        self.counts = Counter[EvictionGroup]()  # evicted connections by group, since the last health log line
         # With the monotonic seconds at which the connection joined the group.
         self._silent: dict[ClientConnection, float] = {}
         self._partial: dict[ClientConnection, float] = {}
@@ -63,28 +70,28 @@
         latest = monotonic() - NEW_CONNECTION_GRACE_SECONDS
         return (
             self._evict_stalled(latest)
-            or self._evict_first("silent", _joined_before(self._silent, latest))
-            or self._evict_first("partial query", _joined_before(self._partial, latest))
+            or self._evict_first(EvictionGroup.SILENT, _joined_before(self._silent, latest))
+            or self._evict_first(EvictionGroup.PARTIAL, _joined_before(self._partial, latest))
         )
 
     def replace_silent(self) -> bool:
         """Close a connection without a whole query, however new, for one over the limit that has sent one."""
         return (
             self._evict_stalled(monotonic() - NEW_CONNECTION_GRACE_SECONDS)
-            or self._evict_first("silent", _within_limit(self._silent))
-            or self._evict_first("partial query", _within_limit(self._partial))
+            or self._evict_first(EvictionGroup.SILENT, _within_limit(self._silent))
+            or self._evict_first(EvictionGroup.PARTIAL, _within_limit(self._partial))
         )
 
     def evict_idle(self) -> bool:
         """Close the connection that is idle for longest; return False if none can be closed."""
-        return self._evict_first("idle", self._idle)
+        return self._evict_first(EvictionGroup.IDLE, self._idle)
 
     def _evict_stalled(self, latest: float) -> bool:
         """Close a connection with a partial query of which nothing has been received since `latest`."""
         stalled = (client for client in self._partial if client.last_used_at < latest)
-        return self._evict_first("partial query", stalled)
+        return self._evict_first(EvictionGroup.PARTIAL, stalled)
 
-    def _evict_first(self, group: str, candidates: Iterable[ClientConnection]) -> bool:
+    def _evict_first(self, group: EvictionGroup, candidates: Iterable[ClientConnection]) -> bool:
         if any(client.evict() for client in candidates):
             self.counts[group] += 1
             return True
--- a/frostfall/net/health_log.py
+++ b/frostfall/net/health_log.py
@@ -56,7 +56,7 @@
             connections=len(self.upstream_connections),
             requests=len(self.requests),
             malformed=dict(self.clients.malformed_counts),
-            evicted=dict(self.clients.evictions.counts),
+            evicted={group.value: count for group, count in self.clients.evictions.counts.items()},
             shed=self.slow_peers.shed_counter.totals(),
             waiting=self.slow_peers.budget.buffered_bytes,
             violations=self.invariants.counts,
