--- a/frostfall/protocol/statement.py
+++ b/frostfall/protocol/statement.py
@@ -9,23 +9,23 @@
 import re
 from dataclasses import dataclass
 
-_TEXT = rb"'([^']*(?:''[^']*)*)'"
-# Each repetition is followed by a character that it cannot match itself, so that a text which does not match
-# is given up in a time proportional to its length.
+# All repetitions are possessive (`*+`): none is followed by a character that it matches itself, so giving a
+# part of it back cannot lead to a match, and a text that does not match is given up without trying.
+_TEXT = rb"'([^']*+(?:''[^']*+)*+)'"
 _STATEMENT = re.compile(
-    rb"\s*(?:SELECT payload FROM entries WHERE ref = "
+    rb"\s*+(?:SELECT payload FROM entries WHERE ref = "
     + _TEXT
     + rb"|INSERT INTO entries \(ref, payload\) VALUES \("
     + _TEXT
     + rb", "
     + _TEXT
     + rb"\) RETURNING payload)"
-    + rb"\s*/\*([^*]*)\*/\s*(?:;\s*)?\Z"
+    + rb"\s*+/\*([^*]*+)\*/\s*+(?:;\s*+)?\Z"
 )
-_PAIR = re.compile(rb"\s*([A-Za-z_][\w.-]*)=([^\s,]*)\s*\Z")
+_PAIR = re.compile(rb"\s*+([A-Za-z_][\w.-]*+)=([^\s,]*+)\s*+\Z")
 _ID = re.compile(rb"[0-9a-zA-Z_.:-]{1,64}\Z")
 _NUMBER = re.compile(rb"[0-9]{1,7}\Z")
-_LOAD = re.compile(r"\s*([a-z_]+)\s*=\s*([0-9]+(?:\.[0-9]+)?(?:[eE][-+]?[0-9]{1,2})?)\s*\Z", re.ASCII)
+_LOAD = re.compile(r"\s*+([a-z_]++)\s*+=\s*+([0-9]++(?:\.[0-9]++)?(?:[eE][-+]?[0-9]{1,2})?)\s*+\Z", re.ASCII)
 MAX_LOAD_VALUE = 1e6  # no field of a load report exceeds it, so a report with a larger value is corrupted
 
 
