--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -24,6 +24,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
+from importlib.util import find_spec
 from pathlib import Path
 from typing import Any
 
@@ -45,6 +46,11 @@
     """The case could not be played; its exit code is 2."""
 
 
+def group_library() -> dict[str, str]:
+    """Return the environment of agents with a `group` where requirements-group.txt is not installed."""
+    return {} if find_spec("crc32c") else {"PYTHONPATH": str(ROOT / "review" / "fallback")}
+
+
 def frame(kind: bytes, payload: bytes) -> bytes:
     """Return a message of PostgreSQL's protocol."""
     return kind + struct.pack("!I", len(payload) + 4) + payload
@@ -489,6 +495,7 @@
         }
         if self.operator:
             environment["FROSTFALL_OPERATOR"] = str(self.operator)
+            environment |= group_library()
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
                 ["/bin/sh", "-c", command],
@@ -720,6 +727,7 @@
             "frostfall",
             *arguments,
             cwd=ROOT,
+            env={**os.environ, **group_library()},
             stdin=asyncio.subprocess.DEVNULL,
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT,
