--- a/review/7/play.py
+++ b/review/7/play.py
@@ -55,9 +55,8 @@
         lost = [each for each in answered if each.answer in ("", "gave up", "closed")]
         for each in lost:
             record.write("lost", id=each.request, answer=each.answer, after_ms=int(each.after * 1000))
-        print(
-            f"{len(lost)} of {REQUESTS} requests unanswered {LOST_AFTER} s after their time; {world.summary()}"
-        )
+        count = f"{len(lost)} of {REQUESTS} requests"
+        print(f"{count} had no answer {LOST_AFTER} s after their time; {world.summary()}")
         return BROKEN if lost else HELD
     finally:
         world.close()
--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -868,9 +868,9 @@
         self.ports.close()
 
 
-def judge_drain(world: World, server: str, until: float) -> int:
-    """Return BROKEN if a server got anything new after a time of the record, else HELD."""
-    late = world.arrivals(server, until)
+def judge_drain(world: World, server: str, until: float, agent: int | None = None) -> int:
+    """Return BROKEN if a server got anything new after a time of the record, from one agent or any."""
+    late = [each for each in world.arrivals(server, until) if agent in (None, each.agent)]
     for each in late:
         world.record.write(
             "late", server=server, agent=each.agent, id=each.request, at=f"{world.at(each):.3f}"
