--- a/frostfall/net/operations/context.py
+++ b/frostfall/net/operations/context.py
@@ -17,7 +17,8 @@
 from frostfall.protocol.attempt_result import FinalOutcome
 from frostfall.protocol.pg import READY_FOR_QUERY
 from frostfall.protocol.pg_server import failure_answer, rejection_answer
-from frostfall.recovery.operation_log import OperationLog, OperationResult
+from frostfall.protocol.recorded_answer import answer_for
+from frostfall.recovery.operation_log import Operation, OperationLog, OperationResult
 from frostfall.recovery.readiness import Readiness, ReadinessInputs
 from frostfall.recovery.retry_after import RetryAfterJitter
 from frostfall.replication.replica_store import ReplicaStore
@@ -71,16 +72,23 @@
             int(self.retry_after.next_delay(self.monotonic_clock()) * MILLISECONDS_PER_SECOND)
         )
 
-    def conclude(self, request: str, result: OperationResult | None) -> None:
+    def conclude(self, request: str, operation: Operation, result: OperationResult | None) -> None:
         """Answer a request with the result of its operation; None means that it may have run."""
-        served = result is not None and result.is_answered
-        self.handler.conclude(
-            request, encode_result(result), FinalOutcome.SERVED if served else FinalOutcome.FAILED
-        )
+        answer = recorded_answer(result, operation.fingerprint)
+        if answer is None:
+            self.handler.conclude(request, failure_answer(), FinalOutcome.FAILED)
+        else:
+            self.handler.conclude(request, answer + READY_FOR_QUERY, FinalOutcome.SERVED)
+
+
+def recorded_answer(result: OperationResult | None, fingerprint: bytes) -> bytes | None:
+    """Return the recorded answer to the statement with this fingerprint, without ReadyForQuery."""
+    if result is None or not result.is_answered or result.answer is None:
+        return None
+    return answer_for(result.answer, fingerprint)
 
 
-def encode_result(result: OperationResult | None) -> bytes:
-    """Return the stored answer of an operation, or else a failure: the operation may have run."""
-    if result is not None and result.is_answered and result.answer is not None:
-        return result.answer + READY_FOR_QUERY
-    return failure_answer()
+def encode_result(result: OperationResult | None, fingerprint: bytes) -> bytes:
+    """Return the recorded answer to the statement, or else a failure: the operation may have run."""
+    answer = recorded_answer(result, fingerprint)
+    return failure_answer() if answer is None else answer + READY_FOR_QUERY
--- a/frostfall/net/operations/coordinator.py
+++ b/frostfall/net/operations/coordinator.py
@@ -7,7 +7,13 @@
 import anyio
 
 from frostfall import interface as api
-from frostfall.net.operations.context import DEADLINE_MARGIN, OperationContext, encode_result
+from frostfall.net.operation_conflict import OperationConflict
+from frostfall.net.operations.context import (
+    DEADLINE_MARGIN,
+    OperationContext,
+    encode_result,
+    recorded_answer,
+)
 from frostfall.net.operations.dispatch import DispatchAuthorizer
 from frostfall.net.operations.endings import OperationEndings
 from frostfall.net.operations.interfaces import ClientAttempt, WaitingClient
@@ -47,7 +53,8 @@
     def handle_query(self, statement: Statement, client: WaitingClient, deadline: int) -> bool:
         """Handle a client's query; return False if the policy engine must execute it.
 
-        `deadline` is in microseconds, as in all methods of this class.
+        `deadline` is in microseconds, as in all methods of this class. Raises OperationConflict if the
+        operation that the statement names is in progress here or has ended here, with another statement.
         """
         idempotency = self._context.idempotency[statement.class_name]
         if idempotency is not api.Idempotency.NON_IDEMPOTENT:
@@ -62,17 +69,18 @@
             self._context.on_unreadable(error)
             client.answer(failure_answer())
             return True
+        attempt = ClientAttempt(client, statement.request, statement.fingerprint)
         match admission.decision:
             case AdmissionDecision.REPLAY:
-                self._replay(name, admission.result, ClientAttempt(client, statement.request), deadline)
+                self._replay(name, admission.result, attempt, deadline)
             case AdmissionDecision.RETRY:
                 # The operation never ran here, but an earlier attempt may have run at another member.
                 may_have_run = self._may_be_retry(statement)
                 client.answer(failure_answer() if may_have_run else self._context.rejection())
             case AdmissionDecision.JOIN:
-                self._join(name, ClientAttempt(client, statement.request), deadline)
+                self._join(name, attempt, deadline)
             case AdmissionDecision.START | AdmissionDecision.POLL_PEERS:
-                return self._start_operation(name, admission, statement, client, deadline)
+                return self._start_operation(name, admission, statement, attempt, deadline)
         return True
 
     def _reject_unless_ready(self, idempotency: api.Idempotency, client: WaitingClient) -> bool:
@@ -86,7 +94,10 @@
     def _admit(self, name: str, statement: Statement) -> Admission:
         if not self._context.inputs.log_replayed:
             return Admission(AdmissionDecision.POLL_PEERS)
-        return self._context.operation_log.admit(name, statement.is_retry)
+        admission = self._context.operation_log.admit(name, statement.is_retry)
+        if admission.result is None and admission.decision is not AdmissionDecision.RETRY:
+            self._context.operation_log.in_progress[name].fingerprint = statement.fingerprint
+        return admission
 
     def _replay(
         self, name: str, result: OperationResult | None, attempt: ClientAttempt, deadline: int
@@ -94,11 +105,13 @@
         if result is None or result.status is OperationStatus.FAILED:
             # This member may have run the operation, and another member may have its result.
             self._look_up(name, attempt, deadline)
-        else:
-            attempt.client.answer(encode_result(result))
+            return
+        if result.is_answered and recorded_answer(result, attempt.fingerprint) is None:
+            raise OperationConflict
+        attempt.notify(encode_result(result, attempt.fingerprint))
 
     def _start_operation(
-        self, name: str, admission: Admission, statement: Statement, client: WaitingClient, deadline: int
+        self, name: str, admission: Admission, statement: Statement, attempt: ClientAttempt, deadline: int
     ) -> bool:
         """Start an operation, unless a replica has its answer or this member is not ready.
 
@@ -108,7 +121,7 @@
         must_poll = admission.decision is AdmissionDecision.POLL_PEERS
         if must_poll and log_replayed and (result := self._replicated_answer(name)):
             self._abandon(in_progress[name])
-            client.answer(encode_result(result))
+            attempt.notify(encode_result(result, attempt.fingerprint))
             return True
         if self._context.readiness.is_ready(ReadinessStage.NON_IDEMPOTENT):
             operation = in_progress[name]
@@ -119,9 +132,9 @@
             self._abandon(in_progress[name])
         # An earlier attempt may have run, so a rejection could wrongly declare a retry safe.
         if self._may_be_retry(statement):
-            self._look_up(name, ClientAttempt(client, statement.request), deadline)
+            self._look_up(name, attempt, deadline)
         else:
-            client.answer(self._context.rejection())
+            attempt.notify(self._context.rejection())
         return True
 
     def _abandon(self, operation: Operation) -> None:
@@ -146,17 +159,20 @@
     def _look_up(self, name: str, attempt: ClientAttempt, deadline: int) -> None:
         """Answer an attempt with the result that other members report, else that it may have run."""
         if not (self._context.task_group and self._context.connections):
-            attempt.client.answer(failure_answer())
+            attempt.notify(failure_answer())
             return
 
         async def look_up() -> None:
-            attempt.notify(encode_result(await self._settlement.find_result(name, deadline)))
+            result = await self._settlement.find_result(name, deadline)
+            attempt.notify(encode_result(result, attempt.fingerprint))
 
         self._context.task_group.start_soon(look_up)
 
     def _join(self, name: str, attempt: ClientAttempt, deadline: int) -> None:
         """Make an attempt wait for the end of an operation in progress, up to the attempt's own deadline."""
         operation = self._context.operation_log.in_progress[name]
+        if operation.fingerprint != attempt.fingerprint:
+            raise OperationConflict
         operation.waiters.append(attempt)
 
         async def expire() -> None:
@@ -217,7 +233,8 @@
 
         `all_attempts_ended` is true if the request has no attempts in flight.
         """
-        attempt, operation = ClientAttempt(client, request), self._operations.get(request)
+        operation = self._operations.get(request)
+        attempt = ClientAttempt(client, request, operation.fingerprint if operation else b"")
         if operation is None:
             attempt.notify(answer)
             return
@@ -249,7 +266,9 @@
         async def poll_and_answer() -> None:
             result = await self._settlement.find_result(operation.name, deadline)
             is_absent = result is not None and result.status is OperationStatus.ABSENT
-            self._endings.notify(operation, rejection if is_absent else encode_result(result))
+            self._endings.notify(
+                operation, rejection if is_absent else encode_result(result, operation.fingerprint)
+            )
 
         if self._context.task_group:
             self._context.task_group.start_soon(poll_and_answer)
--- a/frostfall/net/operations/dispatch.py
+++ b/frostfall/net/operations/dispatch.py
@@ -122,7 +122,7 @@
         """Answer a request whose operation must not start here with the result that other members have."""
         self._endings.end(operation, RecordState.NOT_EXECUTED)
         result = await self._settlement.find_result(operation.name, deadline)
-        self._context.conclude(request, result)
+        self._context.conclude(request, operation, result)
 
     async def _confirm_absent(self, request: str, operation: Operation, deadline: int) -> bool:
         """Poll all members; return whether none can have run the operation, else answer the request."""
@@ -139,7 +139,7 @@
         executing = replies.members_reporting(OperationStatus.IN_PROGRESS)
         if result is None and executing:
             result = await self._await_executing_members(executing, operation, deadline)
-        self._context.conclude(request, result)
+        self._context.conclude(request, operation, result)
         return False
 
     async def _poll_until_agreed(
--- a/frostfall/net/operations/endings.py
+++ b/frostfall/net/operations/endings.py
@@ -5,6 +5,7 @@
 from frostfall.net.operations.context import OperationContext
 from frostfall.protocol.pg import READY_FOR_QUERY
 from frostfall.protocol.pg_server import failure_answer
+from frostfall.protocol.recorded_answer import bind
 from frostfall.recovery.operation_log import Operation
 from frostfall.replication.replica_store import ReplicaUpdate
 from frostfall.storage.segment_codec import RecordState
@@ -22,7 +23,8 @@
         operation_log, replication = self._context.operation_log, self._context.replication
         if not operation_log.is_in_progress(operation):
             return
-        ticket = operation_log.record_end(operation, state, answer)
+        recorded = None if answer is None else bind(answer, operation.fingerprint)
+        ticket = operation_log.record_end(operation, state, recorded)
         if ticket and replication and state is not RecordState.SERVED:
             replication.write_in_background(ReplicaUpdate(state, operation.name))
         if ticket:
@@ -58,8 +60,9 @@
         context = self._context
         if context.replication is None:
             raise RuntimeError("answer awaits replication, but replication is not configured")
-        stored_answer = answer if len(answer) <= context.options.store.answer_bytes else None
-        update = ReplicaUpdate(RecordState.SERVED, operation.name, stored_answer)
+        is_stored = len(answer) <= context.options.store.answer_bytes
+        recorded = bind(answer, operation.fingerprint) if is_stored else None
+        update = ReplicaUpdate(RecordState.SERVED, operation.name, recorded)
 
         def expired() -> bool:
             return context.clock() >= operation.client_deadline
--- a/frostfall/net/operations/interfaces.py
+++ b/frostfall/net/operations/interfaces.py
@@ -37,6 +37,7 @@
 
     client: WaitingClient
     request: str
+    fingerprint: bytes  # of the statement
 
     def notify(self, answer: bytes) -> None:
         """Answer the client if it still awaits this request."""
--- a/frostfall/net/recovery/member.py
+++ b/frostfall/net/recovery/member.py
@@ -34,6 +34,7 @@
 from frostfall.net.recovery.vote_holds import VoteHoldDriver
 from frostfall.net.replication import ReplicationDriver
 from frostfall.protocol.discovery import EndpointListUpdate
+from frostfall.protocol.recorded_answer import BINDING_BYTES
 from frostfall.recovery.operation_log import OperationLog
 from frostfall.recovery.readiness import Readiness, ReadinessInputs
 from frostfall.recovery.retry_after import RetryAfterJitter
@@ -91,7 +92,7 @@
             wal,
             disk.find_record,
             options.retries_marked,
-            options.store.answer_bytes,
+            options.store.answer_bytes + BINDING_BYTES,
             replicated=options.copies is not None,
         )
         active_members = tuple(member.name for member in options.active_members)
--- a/frostfall/net/requests.py
+++ b/frostfall/net/requests.py
@@ -15,6 +15,7 @@
 from frostfall.net.clock import Clock
 from frostfall.net.endpoints import EndpointList
 from frostfall.net.invariants import Invariant
+from frostfall.net.operation_conflict import OperationConflict
 from frostfall.net.pending_answers import PendingAnswers
 from frostfall.net.reasons import CancelReason
 from frostfall.net.request_trace import Step
@@ -131,8 +132,13 @@
         if self._latest_deadline is not None:
             deadline = min(deadline, self._latest_deadline)
         client.request, client.progress.class_name = parsed.request, parsed.class_name
-        if operations and operations.handle_query(parsed, client, deadline):
-            return None
+        if operations:
+            try:
+                if operations.handle_query(parsed, client, deadline):
+                    return None
+            except OperationConflict as conflict:
+                client.request = None
+                return str(conflict)
         self._requests[parsed.request] = _Request(parsed, client, deadline)
         if self._trace.enabled:
             self._trace.record(
--- a/frostfall/protocol/statement.py
+++ b/frostfall/protocol/statement.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import re
 from dataclasses import dataclass
 
@@ -26,6 +27,7 @@
 _ID = re.compile(rb"[0-9a-zA-Z_.:-]{1,64}\Z")
 _NUMBER = re.compile(rb"[0-9]{1,7}\Z")
 _LOAD = re.compile(r"\s*+([a-z_]++)\s*+=\s*+([0-9]++(?:\.[0-9]++)?(?:[eE][-+]?[0-9]{1,2})?)\s*+\Z", re.ASCII)
+FINGERPRINT_BYTES = 16
 MAX_LOAD_VALUE = 1e6  # no field of a load report exceeds it, so a report with a larger value is corrupted
 
 
@@ -42,6 +44,14 @@
     _before: bytes  # text up to the value of field `d`
     _after: bytes  # text after the value of field `d`
     _comment: bytes
+    _comment_offset: int  # of the comment's text; the SQL text ends before it
+
+    @property
+    def fingerprint(self) -> bytes:
+        """The digest of the class and the SQL text, which are the same in all attempts of an operation."""
+        digest = hashlib.blake2b(self.class_name.encode() + b"\0", digest_size=FINGERPRINT_BYTES)
+        digest.update(self._before[: self._comment_offset - len(b"/*")].strip())
+        return digest.digest()
 
     def field(self, name: str) -> str:
         """Return the value of a field of the comment; empty if the comment does not have it."""
@@ -88,6 +98,7 @@
         _before=text[:wait_offset],
         _after=text[wait_offset + len(wait) :],
         _comment=match[4],
+        _comment_offset=match.start(4),
     )
 
 
--- a/frostfall/recovery/operation_log.py
+++ b/frostfall/recovery/operation_log.py
@@ -119,6 +119,7 @@
     name: str
     key: int
     needs_poll: bool  # True if the other members have to be polled before an attempt
+    fingerprint: bytes = b""  # of the statement that began the operation
     confirmed_absent: bool = False  # True once no other member can have run the operation
     replicated: bool = True  # True once enough replica holders have the intent on disk
     acknowledged_by: dict[str, str] = field(default_factory=dict)  # incarnation tokens by replica holder
--- a/tests/test_shared_request_ids.py
+++ b/tests/test_shared_request_ids.py
@@ -108,3 +108,42 @@
         assert kind == b"E"
         assert len(server.queries) == 1
         await wait_until(lambda: not agent.requests)
+
+
+# Guards against a client that is served the answer of another client's open request, as it sent its id.
+async def test_a_statement_with_the_id_of_another_open_request_is_not_served_its_answer(
+    tmp_path: Path,
+) -> None:
+    server, same = ScriptedServer(), write_for("op", "same")
+    async with serving_group_member(tmp_path, server) as agent:
+        usual, bad, retrying = [await Client.connect(agent.config.listen) for _ in range(3)]
+        await usual.send_query(same)
+        connection, _ = await server.wait_for_query(1)
+        await bad.send_query(same.replace(b"9f03", b"ff"))
+        await wait_until(lambda: agent.clients.malformed_counts or len(agent.pending_answers) == 2)
+        await retrying.send_query(same.replace(b"id=same", b"id=other"))
+        await wait_until(lambda: len(agent.pending_answers) > 1)
+        await server.streams[connection].send(row(b"value") + pg.READY_FOR_QUERY)
+        kind, error = await bad.reader.message()
+        assert kind == b"E" and b"C08P01" in error
+        assert [(await client.receive_answer())[0] for client in (usual, retrying)] == [b"D", b"D"]
+        assert len(server.queries) == 1
+
+
+# Guards against the same after the request has been answered and its agent has restarted.
+async def test_a_statement_with_the_id_of_an_answered_request_is_not_served_its_answer(
+    tmp_path: Path,
+) -> None:
+    server, same = ScriptedServer(), write_for("op", "same")
+    async with serving_group_member(tmp_path, server) as agent:
+        usual = await Client.connect(agent.config.listen)
+        await usual.send_query(same)
+        connection, _ = await server.wait_for_query(1)
+        await server.streams[connection].send(row(b"value") + pg.READY_FOR_QUERY)
+        assert (await usual.receive_answer())[0] == b"D"
+    async with serving_group_member(tmp_path, ScriptedServer()) as agent:
+        bad, retrying = [await Client.connect(agent.config.listen) for _ in range(2)]
+        await bad.send_query(same.replace(b"9f03", b"ff"))
+        kind, error = await bad.reader.message()
+        assert kind == b"E" and b"C08P01" in error
+        assert (await retrying.query(same.replace(b"id=same", b"id=other")))[0] == b"D"
