--- a/frostfall/net/client_connection.py
+++ b/frostfall/net/client_connection.py
@@ -151,6 +151,13 @@
             bool(self._output) and self._owner.slow_peers.budget.saturated
         )
 
+    @property
+    def _has_read_ahead(self) -> bool:
+        """True if enough whole messages are buffered that none has to be read before they are processed."""
+        # Between an answer and the next query the protocol is not busy, and yet has whole queries to process.
+        must_process = bool(self._output) or not self._protocol.has_partial_message
+        return must_process and self._protocol.buffered > pg.MAX_READ_BYTES
+
     def detect_disconnection(self) -> bool:
         """Return whether the client has disconnected, even if the end of its stream has not been read yet."""
         if not self._disconnected and self._stream.peer_has_closed:
@@ -370,7 +377,7 @@
     async def _read(self) -> None:
         """Read until the connection closes or the client disconnects."""
         while not (self._protocol.closed or self._closing or self._disconnected):
-            if self._protocol.buffered > pg.MAX_READ_BYTES and (self._protocol.busy or self._output):
+            if self._has_read_ahead:
                 await self._wait_until_caught_up()  # backpressure on a client that pipelines queries
                 continue
             try:
--- a/tests/test_net_client_connections.py
+++ b/tests/test_net_client_connections.py
@@ -9,6 +9,7 @@
 
 import anyio
 import pytest
+from anyio.lowlevel import checkpoint
 
 from frostfall.config import Address
 from frostfall.net.client_acceptor import MAX_OVERFLOW_CONNECTIONS
@@ -329,3 +330,27 @@
             await peer.stream.send(query(read_statement("a1")))
             assert b"C08P01" in await peer.receive_rest()
         assert clients.malformed_counts["an unknown class"] == 5
+
+
+# Guards against queries that were read and never answered, because the agent read ahead more than it can hold.
+async def test_all_queries_are_answered_of_a_client_that_pipelines_more_than_is_buffered() -> None:
+    async with serving() as (clients, handler, dial):
+        peer = await dial()
+        one, answer = query(read_statement("a1")), pg_server.rejection_answer(0)
+        count = 3 * pg.MAX_BUFFER_BYTES // len(one)
+
+        async def answer_queries() -> None:
+            while True:
+                while handler.clients:
+                    handler.clients.pop().answer(answer)
+                await checkpoint()
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(answer_queries)
+            group.start_soon(peer.stream.send, one * count)
+            expected = len(pg_server.STARTUP_RESPONSE) + count * len(answer)
+            while len(peer.data) < expected:
+                peer.data += await peer.stream.receive()
+            group.cancel_scope.cancel()
+        assert peer.data.endswith(pg_server.STARTUP_RESPONSE + answer * count)
+        assert not clients.malformed_counts
