--- a/frostfall/protocol/statement.py
+++ b/frostfall/protocol/statement.py
@@ -28,6 +28,9 @@
 _NUMBER = re.compile(rb"[0-9]{1,7}\Z")
 _LOAD = re.compile(r"\s*+([a-z_]++)\s*+=\s*+([0-9]++(?:\.[0-9]++)?(?:[eE][-+]?[0-9]{1,2})?)\s*+\Z", re.ASCII)
 FINGERPRINT_BYTES = 16
+# Limits of fields, as the time to parse them grows with their number.
+MAX_COMMENT_FIELDS = 64
+MAX_LOAD_FIELDS = 64
 MAX_LOAD_VALUE = 1e6  # no field of a load report exceeds it, so a report with a larger value is corrupted
 
 
@@ -70,6 +73,8 @@
     match = _STATEMENT.match(text)
     if match is None:
         return "a statement that is not in the form"
+    if match[4].count(b",") >= MAX_COMMENT_FIELDS:
+        return "a comment with too many fields"
     fields: dict[bytes, tuple[bytes, int]] = {}  # by name: the value and its offset in the text
     part_offset = match.start(4)
     for part in match[4].split(b","):
@@ -105,6 +110,8 @@
 def load_values(text: str) -> dict[str, float]:
     """Parse a load report such as `inflight=7,util=0.61`; returns no values if any part is malformed."""
     values: dict[str, float] = {}
+    if text.count(",") >= MAX_LOAD_FIELDS:
+        return values
     for part in text.split(","):
         match = _LOAD.match(part)
         if match is None or match[1] in values or float(match[2]) > MAX_LOAD_VALUE:
--- a/tests/test_net_client_connections.py
+++ b/tests/test_net_client_connections.py
@@ -332,7 +332,7 @@
         assert clients.malformed_counts["an unknown class"] == 5
 
 
-# Guards against queries that were read and never answered, because the agent read ahead more than it can hold.
+# Guards against queries that were read and never answered, as the agent read ahead more than it can hold.
 async def test_all_queries_are_answered_of_a_client_that_pipelines_more_than_is_buffered() -> None:
     async with serving() as (clients, handler, dial):
         peer = await dial()
