--- a/frostfall/engine/request_lifecycle.py
+++ b/frostfall/engine/request_lifecycle.py
@@ -12,6 +12,7 @@
 from frostfall.policy.rollout_test import RolloutTest
 from frostfall.records import Attempt, PendingRequest, RoutingChoice, unknown_class
 
+MAX_TIMER_DELAY = 10_000_000  # microseconds; an answered request's timer stays in memory no longer
 WAITING_TIMER = "*hold"  # token of the timer for waiting requests; no request may have this name
 
 
@@ -52,7 +53,7 @@
         self._retries.record_request()
         self._exposure.log.record_admitted(now, group)
         self._statistics.times.record_hint(request_class.name, event.service_time_hint)
-        yield api.SetTimer(max(remaining - ANSWER_MARGIN, 0), event.request)
+        yield self._deadline_timer(now, request)
         if self._placement.admits(request):
             yield from self._place(now, request)
         else:
@@ -103,9 +104,20 @@
                 yield from self._place(now, request)
             return
         due = self.by_name.get(event.token)
-        # If the deadline is not near, the timer was set for an earlier request of the same name.
-        if due and now >= due.arrival.deadline - ANSWER_MARGIN:
+        # A timer that fires before the request's own was set for an earlier request of the same name.
+        if due is None or now < due.timer_due:
+            return
+        if now >= due.arrival.deadline - ANSWER_MARGIN:
             yield from self._end_unserved(due)
+        elif not due.done:
+            yield self._deadline_timer(now, due)
+
+    def _deadline_timer(self, now: Microseconds, request: PendingRequest) -> api.SetTimer:
+        """Return a timer for the request's last answer, or for an earlier time if that is far away."""
+        remaining = request.arrival.deadline - ANSWER_MARGIN - now
+        delay = min(max(remaining, 0), MAX_TIMER_DELAY)
+        request.timer_due = now + delay
+        return api.SetTimer(delay, request.name)
 
     def stream_started(self, event: api.StreamStarted) -> None:
         """Record that an answer is being streamed: its request is no longer cancelled or answered here."""
--- a/frostfall/records.py
+++ b/frostfall/records.py
@@ -131,6 +131,7 @@
     done: bool = False
     streaming: bool = False
     counted_in_test: bool = False  # whether the running test has counted an outcome of this request
+    timer_due: Microseconds = 0  # when the last timer that was set for the request fires
 
     @property
     def name(self) -> str:
--- a/tests/test_crossing_requests.py
+++ b/tests/test_crossing_requests.py
@@ -33,7 +33,16 @@
     tcp_server,
     write_statement,
 )
-from tests.support import IDEMPOTENT, SECOND, SETTINGS, EngineHarness, error_answers, sent_attempts, server
+from tests.support import (
+    IDEMPOTENT,
+    NON_IDEMPOTENT,
+    SECOND,
+    SETTINGS,
+    EngineHarness,
+    error_answers,
+    sent_attempts,
+    server,
+)
 from tests.test_agent import code, serving
 from tests.test_crossing_pool import ScriptedServer, run_iterations, wait_until
 
@@ -182,6 +191,36 @@
     assert len(error_answers(driver.pass_time(SECOND))) == 1
 
 
+# Guards against memory that grows with each request whose client says that it waits for hours.
+def test_no_timer_outlives_its_request_by_more_than_ten_seconds() -> None:
+    driver = EngineHarness(SETTINGS, server(1))
+    timers_before = len(driver.timers)
+    for _ in range(100):
+        (send,) = sent_attempts(driver.send_request(timeout=10_000 * SECOND))
+        driver.end_attempt(send)
+        driver.advance(SECOND // 100)
+    driver.pass_time(10 * SECOND)
+    assert not driver.engine.requests and len(driver.timers) == timers_before
+
+
+# Guards against a request that waits for long and gets no answer, or one before its time.
+@pytest.mark.parametrize("seconds", [9, 10, 11, 25])
+def test_a_request_with_a_long_deadline_is_answered_at_its_end(seconds: int) -> None:
+    driver = EngineHarness(SETTINGS, server(1))
+    for request in ("again", "again", "other"):  # each client of "again" but the last disconnects at once
+        (send,) = sent_attempts(
+            driver.handle(api.RequestArrived(request, NON_IDEMPOTENT.name, driver.now + seconds * SECOND))
+        )
+        if driver.now == 100 * SECOND:
+            driver.handle(api.ClientDisconnected(request))
+            driver.end_attempt(send, api.Outcome.CANCELLED)
+            driver.pass_time(SECOND)
+    assert not error_answers(driver.pass_time((seconds - 1) * SECOND))
+    assert len(error_answers(driver.pass_time(SECOND))) == 2
+    driver.pass_time(10 * SECOND)
+    assert sum(token in ("again", "other") for _, _, token in driver.timers) == 0
+
+
 def test_a_waiting_request_is_not_sent_after_its_client_has_disconnected() -> None:
     driver = EngineHarness(SETTINGS)
     assert not sent_attempts(driver.send_request() + driver.send_request())  # there is no server to go to
