--- a/frostfall/net/operations/coordinator.py
+++ b/frostfall/net/operations/coordinator.py
@@ -16,7 +16,7 @@
 )
 from frostfall.net.operations.dispatch import DispatchAuthorizer
 from frostfall.net.operations.endings import OperationEndings
-from frostfall.net.operations.interfaces import ClientAttempt, WaitingClient
+from frostfall.net.operations.interfaces import ClientAttempt, JoinedAttempt, WaitingClient
 from frostfall.net.operations.peer_poll import PeerPoll
 from frostfall.net.operations.settlement import OperationSettlement
 from frostfall.protocol.attempt_result import AttemptResult, FinalOutcome
@@ -173,13 +173,15 @@
         operation = self._context.operation_log.in_progress[name]
         if operation.fingerprint != attempt.fingerprint:
             raise OperationConflict
-        operation.waiters.append(attempt)
+        joined = JoinedAttempt(attempt)
+        operation.waiters.append(joined)
 
         async def expire() -> None:
-            await anyio.sleep(self._context.seconds_left(deadline))
-            if attempt in operation.waiters:
-                operation.waiters.remove(attempt)
-                attempt.notify(failure_answer())
+            with anyio.move_on_after(self._context.seconds_left(deadline)):
+                await joined.answered.wait()
+            if joined in operation.waiters:
+                operation.waiters.remove(joined)
+                joined.notify(failure_answer())
 
         if self._context.task_group:
             self._context.task_group.start_soon(expire)
--- a/frostfall/net/operations/interfaces.py
+++ b/frostfall/net/operations/interfaces.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+import anyio
+
 from frostfall import interface as api
 from frostfall.protocol.attempt_result import FinalOutcome
 
@@ -43,3 +45,17 @@
         """Answer the client if it still awaits this request."""
         if self.client.request == self.request:
             self.client.answer(answer)
+
+
+class JoinedAttempt:
+    """A client's attempt that waits for the end of an operation that another attempt has begun."""
+
+    def __init__(self, attempt: ClientAttempt) -> None:
+        """Begin to wait."""
+        self.answered = anyio.Event()
+        self._attempt = attempt
+
+    def notify(self, answer: bytes) -> None:
+        """Answer the client if it still awaits this request."""
+        self.answered.set()
+        self._attempt.notify(answer)
--- a/tests/test_shared_request_ids.py
+++ b/tests/test_shared_request_ids.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
 
+import anyio
 import pytest
 
 from frostfall.net.agent import Agent
@@ -147,3 +149,23 @@
         kind, error = await bad.reader.message()
         assert kind == b"E" and b"C08P01" in error
         assert (await retrying.query(same.replace(b"id=same", b"id=other")))[0] == b"D"
+
+
+# Guards against memory that grows with each attempt that joins an operation and says that it waits for hours.
+async def test_an_attempt_that_joined_an_operation_leaves_no_task_behind_once_it_is_answered(
+    tmp_path: Path,
+) -> None:
+    server = ScriptedServer()
+    async with serving_group_member(tmp_path, server) as agent:
+        usual, joining = [await Client.connect(agent.config.listen) for _ in range(2)]
+        for number in range(1, 6):
+            text = write_for(f"op{number}", f"first{number}")
+            await usual.send_query(text)
+            connection, _ = await server.wait_for_query(number)
+            await joining.send_query(text.replace(b"d=%d" % WAIT_MS, b"d=9999999,r=1"))
+            await wait_until_accepted(agent, 2)
+            await server.streams[connection].send(row(b"value") + pg.READY_FOR_QUERY)
+            assert [(await client.receive_answer())[0] for client in (usual, joining)] == [b"D", b"D"]
+        await wait_until(lambda: not agent.requests)
+        await anyio.sleep(0.05)
+        assert not [task for task in asyncio.all_tasks() if ".operations." in task.get_name()]
