--- a/frostfall/net/requests.py
+++ b/frostfall/net/requests.py
@@ -21,7 +21,7 @@
 from frostfall.net.request_trace import Step
 from frostfall.net.upstream_connection import UpstreamAttempt
 from frostfall.net.upstream_pool import UpstreamPool
-from frostfall.policy.repeat_safety import WrittenAttempt, may_repeat
+from frostfall.policy.repeat_safety import RanIds, WrittenAttempt, may_repeat
 from frostfall.protocol import endpoint_adapter, statement
 from frostfall.protocol.attempt_result import AttemptProgress, AttemptResult, FinalOutcome
 from frostfall.protocol.pg import READY_FOR_QUERY
@@ -48,6 +48,14 @@
     in_flight: int = 0  # attempts that have not ended
     done: bool = False  # answered, or its client has disconnected
 
+    def written_attempts(self, current: UpstreamAttempt | None = None) -> list[WrittenAttempt]:
+        """Return the attempts that were written, without the current one."""
+        return [
+            WrittenAttempt(attempt.written_at, attempt.outcome)
+            for attempt in self.attempts
+            if attempt is not current and attempt.progress >= AttemptProgress.WRITTEN
+        ]
+
 
 @dataclass(slots=True)
 class _Dispatch:
@@ -97,6 +105,7 @@
         self._endpoints = endpoints
         self._pool = pool
         self._requests: dict[str, _Request] = {}  # by request id
+        self._ran_ids = RanIds()
         self._task_group: TaskGroup | None = None
         self._operations: OperationCoordinator | None = None
 
@@ -139,6 +148,9 @@
             except OperationConflict as conflict:
                 client.request = None
                 return str(conflict)
+        if self._has_run(parsed):
+            client.answer(failure_answer())
+            return None
         self._requests[parsed.request] = _Request(parsed, client, deadline)
         if self._trace.enabled:
             self._trace.record(
@@ -161,6 +173,14 @@
         )
         return None
 
+    def _has_run(self, parsed: statement.Statement) -> bool:
+        """Return whether an earlier request with this id may have run; its client may have left since."""
+        request_class = self._classes[parsed.class_name]
+        if self._operations and request_class.idempotency is api.Idempotency.NON_IDEMPOTENT:
+            return False  # the operation's record decides
+        self._ran_ids.forget_expired(self._clock.now())
+        return request_class.idempotency is not api.Idempotency.IDEMPOTENT and parsed.request in self._ran_ids
+
     def client_disconnected(self, client: ClientConnection) -> None:
         """Cancel the pending request of a client that has disconnected, if there is one.
 
@@ -203,7 +223,7 @@
             return
         request.done = True
         if all_attempts_ended := not request.in_flight:
-            del self._requests[name]
+            self._remove(name)
         if self._operations:
             self._operations.finish_request(name, answer, outcome, request.client, all_attempts_ended)
         else:
@@ -211,10 +231,15 @@
 
     def _remove_if_finished(self, name: str) -> None:
         if (request := self._requests.get(name)) and request.done and not request.in_flight:
-            del self._requests[name]
+            self._remove(name)
             if self._operations:
                 self._operations.request_closed(name)
 
+    def _remove(self, name: str) -> None:
+        request = self._requests.pop(name)
+        request_class = self._classes[request.statement.class_name]
+        self._ran_ids.record_end(self._clock.now(), name, request_class, request.written_attempts())
+
     def cancel_attempt(self, name: str, number: int) -> None:
         """Cancel an attempt of a request; the end of the attempt is still reported."""
         if (request := self._requests.get(name)) and number < len(request.attempts):
@@ -304,11 +329,7 @@
         is_leased = self._may_act_on(now, dispatch.action.server)
         if is_pending and is_leased and now < request.deadline and len(request.attempts) == 1:
             return True  # the common case: the first attempt of a request
-        earlier = [
-            WrittenAttempt(attempt.written_at, attempt.outcome)
-            for attempt in request.attempts
-            if attempt is not dispatch.attempt and attempt.progress >= AttemptProgress.WRITTEN
-        ]
+        earlier = request.written_attempts(dispatch.attempt)
         is_safe = may_repeat(now, self._classes[request.statement.class_name], earlier)
         check = self._invariants.check
         return (
--- a/tests/test_answer_owner.py
+++ b/tests/test_answer_owner.py
@@ -19,7 +19,13 @@
 from frostfall.net.reasons import CloseReason
 from frostfall.net.streams import LISTEN_BACKLOG, Stream, connect
 from frostfall.policy import drain
-from frostfall.policy.repeat_safety import WrittenAttempt, may_repeat
+from frostfall.policy.repeat_safety import (
+    MAX_RAN_IDS,
+    RAN_IDS_RETENTION,
+    RanIds,
+    WrittenAttempt,
+    may_repeat,
+)
 from frostfall.protocol import pg, pg_server
 from tests.standins import (
     STREAM_ERRORS,
@@ -430,3 +436,25 @@
     for step in ("accepted", "attempt started", "attempt written", "attempt ended", "answered"):
         assert any(step in line for line in steps), step
     assert "t1" not in out and "t3" not in out
+
+
+def test_the_ids_of_requests_that_may_have_run_are_kept_for_a_limited_time_and_number() -> None:
+    reset = WrittenAttempt(sent_at=0, outcome=Outcome.RESET)
+    overloaded = WrittenAttempt(sent_at=0, outcome=Outcome.OVERLOADED)
+    ids = RanIds()
+    for name, request_class, written in (
+        ("read", IDEMPOTENT, [reset]),
+        ("turned away", NON_IDEMPOTENT, [overloaded]),
+        ("never written", NON_IDEMPOTENT, []),
+        ("may have run", NON_IDEMPOTENT, [overloaded, reset]),
+        ("keyed", KEYED, [reset]),
+    ):
+        ids.record_end(0, name, request_class, written)
+    assert len(ids) == 2 and "may have run" in ids and "keyed" in ids
+    ids.forget_expired(RAN_IDS_RETENTION - 1)
+    assert len(ids) == 2
+    ids.forget_expired(RAN_IDS_RETENTION)
+    assert len(ids) == 0
+    for number in range(MAX_RAN_IDS + 1):
+        ids.record_end(RAN_IDS_RETENTION, str(number), NON_IDEMPOTENT, [reset])
+    assert len(ids) == MAX_RAN_IDS and "0" not in ids and str(MAX_RAN_IDS) in ids
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -4,8 +4,9 @@
 
 import socket
 import time
-from collections.abc import Iterator
-from contextlib import contextmanager, suppress
+from collections.abc import Callable, Iterator
+from contextlib import AbstractContextManager, contextmanager, suppress
+from functools import partial
 from pathlib import Path
 from threading import Event, Thread
 
@@ -139,6 +140,46 @@
         assert cluster.query("n2", "shared", 2) == "served"
 
 
+@contextmanager
+def running_alone(directory: Path) -> Iterator[Cluster]:
+    """Run agents without a group until they serve."""
+    cluster = Cluster(directory, agents=3, servers=2, group=False)
+    try:
+        cluster.open()
+        cluster.start()
+        cluster.start_clients(rate=0)
+        for name in cluster.names:
+            while cluster.query(name, f"ready-{name}-{cluster.now}") != "served":
+                time.sleep(0.05)
+        yield cluster
+    finally:
+        cluster.close()
+
+
+# Guards against an id that ran twice, when it came again after its client had left.
+@pytest.mark.parametrize(
+    "start",
+    [partial(running, expect_clean=False), running_alone],  # the history lacks what this test's clients ask
+    ids=["group", "alone"],
+)
+@pytest.mark.parametrize("mark", [b"", b",r=1"], ids=["unmarked", "marked"])
+@pytest.mark.parametrize("is_held", [True, False], ids=["held", "ran"])
+def test_an_id_does_not_run_again_after_its_client_has_left(
+    tmp_path: Path, start: Callable[[Path], AbstractContextManager[Cluster]], mark: bytes, is_held: bool
+) -> None:
+    text = write_statement("again", 1500).replace(b" */", b",op=again */")
+    with start(tmp_path) as cluster:
+        cluster.servers(hold=["order"] if is_held else [])
+        with connect(cluster, "n0", pg.frame(b"Q", text + b"\0")):
+            cluster.wait("ran", op="again")
+        time.sleep(0.3)  # until the agent has handled the end of the connection
+        with connect(cluster, "n0", pg.frame(b"Q", text.replace(b" */", mark + b" */") + b"\0")) as client:
+            time.sleep(0.2)
+            cluster.servers(let_go=True)
+            assert first_reply(client)
+        assert count_runs(cluster, "again") == 1
+
+
 # Guards against the same where the answer comes from a copy, as the member that had it is away.
 def test_another_statement_with_the_id_of_a_request_is_not_served_from_a_copy(tmp_path: Path) -> None:
     with running(tmp_path, copies={"kept": 3, "acknowledged": 2}) as cluster:
