--- a/frostfall/net/client_connection.py
+++ b/frostfall/net/client_connection.py
@@ -350,6 +350,7 @@
         self._closing = True
         self._close_reason = reason
         self._owner.mark_closing(self)
+        self._owner.update_buffered(self, self._protocol.buffered)
         self._output.end()
         self._input_scope.cancel()
 
--- a/frostfall/protocol/buffer.py
+++ b/frostfall/protocol/buffer.py
@@ -25,6 +25,11 @@
         self._bytes += data
         return True
 
+    def clear(self) -> None:
+        """Discard all bytes and release their memory."""
+        self._bytes = bytearray()
+        self._start = 0
+
     def peek(self, count: int, offset: int = 0) -> bytes:
         """Return up to `count` unread bytes from `offset` on, without consuming them."""
         first = self._start + offset
--- a/frostfall/protocol/pg_server.py
+++ b/frostfall/protocol/pg_server.py
@@ -91,22 +91,28 @@
         if event is None and self._overflow:
             event = self.close_malformed(MalformedReason.OVERSIZE)
         self._needs_input = event is None
-        self._closed = isinstance(event, Closed)
+        if isinstance(event, Closed):
+            self._close()
         return event
 
+    def _close(self) -> None:
+        """End the connection: no further input is parsed, so none is kept."""
+        self._closed = True
+        self._buffer.clear()
+
     def close_malformed(self, reason: MalformedReason, text: str | None = None) -> Closed:
         """Close the connection of a client that violates the protocol."""
-        self._closed = True
+        self._close()
         return Closed(pg.error_response("FATAL", "08P01", text or reason.value), reason)
 
     def reject_partial_query(self) -> Closed:
         """Close a connection with a partly received query, which was never accepted and so never ran."""
-        self._closed = True
+        self._close()
         return Closed(pg.error_response("FATAL", "57P03", "shutting down: try again elsewhere"))
 
     def reject_for_capacity(self) -> Closed:
         """Close a connection with a partly received query because its place is needed for another one."""
-        self._closed = True
+        self._close()
         return Closed(pg.error_response("FATAL", "53300", "refused: too many connections"))
 
     def _next_startup_event(self) -> Event | None:
--- a/tests/test_net_client_connections.py
+++ b/tests/test_net_client_connections.py
@@ -354,3 +354,19 @@
             group.cancel_scope.cancel()
         assert peer.data.endswith(pg_server.STARTUP_RESPONSE + answer * count)
         assert not clients.malformed_counts
+
+
+# Guards against memory above its limit: rejected clients' input was kept for as long as they could send more.
+async def test_a_connection_that_is_rejected_for_want_of_memory_keeps_none_of_its_input() -> None:
+    limit = 2 * pg.MAX_READ_BYTES
+    beginning = query(read_statement("a1") + b" " * pg.MAX_READ_BYTES * 3)[: pg.MAX_READ_BYTES * 2]
+    async with serving(max_buffered_bytes=limit) as (clients, _, dial):
+        peers = [await dial() for _ in range(20)]
+        opened = list(clients)
+        async with anyio.create_task_group() as group:
+            for peer in peers:
+                group.start_soon(peer.stream.send, beginning)
+            await wait_until(lambda: sum(client.closing for client in opened) >= 18)
+            group.cancel_scope.cancel()
+        kept = sum(client._protocol.buffered for client in clients)
+        assert clients.buffered_bytes == kept <= limit
