--- a/frostfall/net/requests.py
+++ b/frostfall/net/requests.py
@@ -176,10 +176,15 @@
     def _has_run(self, parsed: statement.Statement) -> bool:
         """Return whether an earlier request with this id may have run; its client may have left since."""
         request_class = self._classes[parsed.class_name]
-        if self._operations and request_class.idempotency is api.Idempotency.NON_IDEMPOTENT:
-            return False  # the operation's record decides
+        if self._is_recorded(request_class) or request_class.idempotency is api.Idempotency.IDEMPOTENT:
+            return False
         self._ran_ids.forget_expired(self._clock.now())
-        return request_class.idempotency is not api.Idempotency.IDEMPOTENT and parsed.request in self._ran_ids
+        return parsed.request in self._ran_ids
+
+    def _is_recorded(self, request_class: api.RequestClass) -> bool:
+        """Return whether the group's record of operations decides if a request of this class may run."""
+        is_non_idempotent = request_class.idempotency is api.Idempotency.NON_IDEMPOTENT
+        return self._operations is not None and is_non_idempotent
 
     def client_disconnected(self, client: ClientConnection) -> None:
         """Cancel the pending request of a client that has disconnected, if there is one.
@@ -238,7 +243,8 @@
     def _remove(self, name: str) -> None:
         request = self._requests.pop(name)
         request_class = self._classes[request.statement.class_name]
-        self._ran_ids.record_end(self._clock.now(), name, request_class, request.written_attempts())
+        if not self._is_recorded(request_class):
+            self._ran_ids.record_end(self._clock.now(), name, request_class, request.written_attempts())
 
     def cancel_attempt(self, name: str, number: int) -> None:
         """Cancel an attempt of a request; the end of the attempt is still reported."""
